Serve on real sockets: core, platform front, call attempts, resolver and peers

Ruled out: the module (no call attempt was made) and the deadline guard (it would have answered). At fault: HttpChannel::run, whose pending read had grown the channel's buffer by 4096 bytes that answers then looked at as a request.

--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -2,26 +2,20 @@
 #pragma once
 
 #include <iosfwd>
-#include <map>
-#include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "config/settings.h"
 #include "pierlead/brain.h"
 
 namespace pierlead::wire {
 
-// A line that cannot be read; what() names it.
-struct ParseError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-using Fields = std::map<std::string, std::string, std::less<>>;
+using config::Fields;
+using config::parse_settings;
+using config::ParseError;  // of a line that cannot be read; what() names it
 
 Fields parse_fields(std::string_view rest);
-Settings parse_settings(const Fields& info);
 std::string encode_base64(std::string_view bytes);
 std::string decode_base64(std::string_view text);  // throws ParseError
 std::string format_action(const Action& action);   // one line, without its end
--- /dev/null
+++ b/src/attempt/attempts.cpp
@@ -0,0 +1,257 @@
+#include "attempt/attempts.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace cranemux::attempt {
+namespace {
+
+using net::Clock;
+using pierlead::Result;
+constexpr std::chrono::seconds kSweep{1};
+constexpr std::chrono::milliseconds kDrainMargin{20};  // before the grace of a drain ends
+
+}  // namespace
+
+Attempts::Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits, metrics::Logger& logger,
+                   metrics::Counters& counters)
+    : io_(io), core_(core), limits_(limits), logger_(logger), counters_(counters), sweeper_(io) {
+  net::spawn(io_, logger_, "connection sweep", sweep());
+}
+
+Attempts::~Attempts() = default;
+
+void Attempts::resolved(const config::ResolverResult& result, bool whole) {
+  const auto stop = [&](Worker& worker, const char* state) {
+    worker.entry.state = state;
+    worker.stop_at = std::min(worker.stop_at, Clock::now() + limits_.drain_grace - kDrainMargin);
+  };
+  if (whole) {  // who is not in it is gone
+    for (auto& [name, worker] : workers_) {
+      const auto listed = std::any_of(result.entries.begin(), result.entries.end(),
+                                      [&, n = name](const auto& e) { return e.name == n; });
+      if (!listed) stop(*worker, "left");
+    }
+  }
+  for (const auto& entry : result.entries) {
+    auto& worker = workers_[entry.name];
+    if (!worker) worker = std::make_shared<Worker>();
+    const auto& was = worker->entry;
+    const bool moved =
+        entry.state != "left" && (entry.since != was.since || entry.address.host != was.address.host ||
+                                  entry.address.port != was.address.port);
+    if (moved) {  // connections to the process before it lead nowhere
+      connections_ -= worker->idle.size();
+      worker->idle.clear();
+    }
+    if (entry.state == "active") {
+      worker->entry = entry;
+      worker->stop_at = Clock::time_point::max();
+    } else {
+      if (entry.state != "left") worker->entry = entry;
+      stop(*worker, entry.state.c_str());
+    }
+  }
+  std::erase_if(workers_, [&](const auto& item) {
+    auto& worker = *item.second;
+    if (worker.entry.state != "left" || worker.busy > 0) return false;
+    connections_ -= worker.idle.size();
+    return true;
+  });
+}
+
+std::map<std::string, Attempts::Node> Attempts::nodes() const {
+  std::map<std::string, Node> out;
+  for (const auto& [name, worker] : workers_) {
+    out[name] = {worker->entry.state, worker->idle.size(), worker->busy, worker->sent};
+  }
+  return out;
+}
+
+void Attempts::start(core::RpcId rpc, int attempt, const std::string& worker,
+                     std::chrono::nanoseconds patience, const std::shared_ptr<const core::Payload>& payload) {
+  auto call = std::make_shared<Call>(io_);
+  call->rpc = rpc;
+  call->attempt = attempt;
+  call->payload = payload;
+  call->started = Clock::now();
+  call->give_up = call->started + patience;
+  const auto found = workers_.find(worker);
+  if (found != workers_.end()) call->worker = found->second;
+  calls_[rpc] = call;
+  net::spawn(io_, logger_, "call attempt", run(std::move(call)));
+}
+
+void Attempts::cancel(core::RpcId rpc, int attempt) {
+  const auto found = calls_.find(rpc);
+  if (found != calls_.end() && found->second->attempt == attempt) close(*found->second, Stop::cancelled);
+}
+
+void Attempts::close(Call& call, Stop stop) {
+  if (call.stop != Stop::none) return;
+  call.stop = stop;
+  boost::system::error_code ignored;
+  if (call.connection) call.connection->socket.close(ignored);
+}
+
+// Ends the call at `at` by closing its connection; replaces the limit before.
+void Attempts::limit(const std::shared_ptr<Call>& call, Clock::time_point at) {
+  call->timer.expires_at(at);
+  call->timer.async_wait([this, weak = std::weak_ptr<Call>(call)](const boost::system::error_code& error) {
+    const auto held = weak.lock();
+    if (!error && held && held->timer.expiry() <= Clock::now()) close(*held, Stop::timeout);
+  });
+}
+
+net::awaitable<void> Attempts::run(std::shared_ptr<Call> call) {
+  core::AttemptResult result;
+  result.result = Result::connect_failed;
+  if (call->worker && call->stop == Stop::none) {
+    ++call->worker->busy;
+    limit(call, std::min(call->give_up, call->started + limits_.connect_timeout));
+    call->connection = reuse(*call->worker);
+    const bool up = call->connection || co_await open(*call);
+    // A drain may have begun while the connection came up.
+    if (up && call->stop == Stop::none && Clock::now() < call->worker->stop_at) {
+      limit(call, call->give_up);
+      result = co_await exchange(*call);
+    }
+    call->timer.cancel();
+    --call->worker->busy;
+    if (call->connection) {
+      call->connection->idle_since = Clock::now();
+      if (call->connection->socket.is_open()) {
+        call->worker->idle.push_back(std::move(call->connection));
+      } else {
+        --connections_;
+      }
+    }
+  }
+  result.took = Clock::now() - call->started;
+  calls_.erase(call->rpc);
+  core_.attempt_ended(call->rpc, call->attempt, std::move(result));
+}
+
+// An idle connection, if one is surely still open: the worker's machine may have closed it, and soon will.
+std::unique_ptr<Attempts::Connection> Attempts::reuse(Worker& worker) {
+  const auto oldest = Clock::now() - limits_.connection_idle * 4 / 5;
+  while (!worker.idle.empty()) {
+    auto connection = std::move(worker.idle.back());
+    worker.idle.pop_back();
+    char byte = 0;
+    const auto got = ::recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool quiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (quiet && connection->idle_since > oldest) return connection;
+    --connections_;
+  }
+  return nullptr;
+}
+
+// True if one more connection may be opened: closes the one that has been idle longest if there must be.
+bool Attempts::make_room() {
+  if (connections_ < limits_.connections) return true;
+  Worker* oldest = nullptr;
+  for (auto& [name, worker] : workers_) {
+    if (worker->idle.empty()) continue;
+    if (!oldest || worker->idle.front()->idle_since < oldest->idle.front()->idle_since) oldest = worker.get();
+  }
+  if (!oldest) return false;
+  oldest->idle.pop_front();
+  --connections_;
+  return true;
+}
+
+net::awaitable<bool> Attempts::open(Call& call) {
+  if (!make_room()) {
+    logger_.log(metrics::Level::warning, "no room for a connection to ", call.worker->entry.name);
+    co_return false;
+  }
+  call.connection.reset(new Connection{net::tcp::socket(io_), {}, {}});
+  auto& socket = call.connection->socket;
+  boost::system::error_code error;
+  const auto target = net::endpoint<net::tcp>(call.worker->entry.address);
+  socket.open(target.protocol(), error);
+  if (error) {
+    call.connection.reset();
+    co_return false;
+  }
+  ++connections_;
+  ++counters_.worker_connections;
+  socket.set_option(net::tcp::no_delay(true), error);
+  std::tie(error) = co_await socket.async_connect(target, net::kResult);
+  if (error) {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  }
+  co_return !error;
+}
+
+core::AttemptResult Attempts::broken(const Call& call) const {
+  core::AttemptResult result;
+  if (!call.written) {
+    result.result = Result::connect_failed;
+  } else if (call.stop == Stop::none) {
+    result.result = Result::reset;
+  } else {
+    result.result = call.stop == Stop::timeout ? Result::timeout : Result::cancelled;
+  }
+  return result;
+}
+
+net::awaitable<core::AttemptResult> Attempts::exchange(Call& call) {
+  const auto& payload = static_cast<const Exchange&>(*call.payload);
+  auto& connection = *call.connection;
+  auto& socket = connection.socket;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.give_up - Clock::now());
+  const auto message = payload.message(std::max(left, std::chrono::milliseconds(1)));
+  ++call.worker->sent;
+  boost::system::error_code error, ignored;
+  std::size_t count = 0;
+  std::tie(error, count) = co_await net::asio::async_write(socket, net::asio::buffer(message), net::kResult);
+  call.written = count == message.size();
+  core::AttemptResult result = broken(call);
+  http::Message answer;
+  http::Verdict verdict;
+  connection.buffer.clear();
+  while (!error && call.stop == Stop::none) {
+    const bool ended = co_await net::read_more(socket, connection.buffer) == 0;
+    if (call.stop != Stop::none) break;
+    if (!ended && connection.buffer.size() < verdict.need) continue;
+    verdict = http::parse(connection.buffer, http::Kind::response, answer, ended);
+    if (verdict.state == http::State::whole && answer.status < 200) {  // 1xx comes before the answer
+      connection.buffer.erase(0, answer.size);
+      verdict = http::parse(connection.buffer, http::Kind::response, answer, ended);
+    }
+    if (ended || verdict.state != http::State::partial) break;
+  }
+  if (verdict.state == http::State::whole && call.stop == Stop::none) {
+    result = payload.read(answer);
+    if (answer.keep_alive && answer.size == connection.buffer.size()) {
+      connection.buffer.clear();
+      co_return result;
+    }
+  } else {
+    result = broken(call);
+    if (verdict.state == http::State::bad) result.result = Result::error;
+  }
+  socket.close(ignored);
+  co_return result;
+}
+
+net::awaitable<void> Attempts::sweep() {
+  for (;;) {
+    sweeper_.expires_after(kSweep);
+    const auto [error] = co_await sweeper_.async_wait(net::kResult);
+    if (error) co_return;
+    const auto oldest = Clock::now() - limits_.connection_idle * 4 / 5;
+    for (auto& [name, worker] : workers_) {
+      while (!worker->idle.empty() && worker->idle.front()->idle_since < oldest) {
+        worker->idle.pop_front();
+        --connections_;
+      }
+    }
+  }
+}
+
+}  // namespace cranemux::attempt
--- /dev/null
+++ b/src/attempt/attempts.h
@@ -0,0 +1,95 @@
+// Call attempts on connections to workers, each carrying one at a time.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/core.h"
+#include "http/http.h"
+#include "net/net.h"
+
+namespace cranemux::attempt {
+
+// How a front's RPC is put to a worker, and what the worker's answer means.
+class Exchange : public core::Payload {
+ public:
+  virtual std::string message(std::chrono::milliseconds patience) const = 0;
+  virtual core::AttemptResult read(const http::Message& answer) const = 0;
+};
+
+struct Limits {
+  std::chrono::nanoseconds connect_timeout{}, connection_idle{}, drain_grace{};
+  std::size_t connections = 256;
+};
+
+class Attempts : public core::CallAttempts {
+ public:
+  Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits, metrics::Logger& logger,
+           metrics::Counters& counters);
+  ~Attempts() override;
+
+  void resolved(const config::ResolverResult& result, bool whole);
+  void start(core::RpcId rpc, int attempt, const std::string& worker, std::chrono::nanoseconds patience,
+             const std::shared_ptr<const core::Payload>& payload) override;
+  void cancel(core::RpcId rpc, int attempt) override;
+
+  struct Node {
+    std::string state;
+    std::size_t idle = 0, busy = 0;
+    std::uint64_t sent = 0;
+  };
+  std::map<std::string, Node> nodes() const;
+
+ private:
+  struct Connection {
+    net::tcp::socket socket;
+    std::string buffer;
+    net::Clock::time_point idle_since;
+  };
+  struct Worker {
+    config::ListEntry entry;
+    net::Clock::time_point stop_at = net::Clock::time_point::max();  // no first byte is sent after it
+    std::deque<std::unique_ptr<Connection>> idle;                    // the last used at the back
+    std::size_t busy = 0;
+    std::uint64_t sent = 0;
+  };
+  enum class Stop { none, cancelled, timeout };
+  struct Call {
+    Call(net::asio::io_context& io) : timer(io) {}
+    core::RpcId rpc = 0;
+    int attempt = 0;
+    std::shared_ptr<Worker> worker;
+    std::unique_ptr<Connection> connection;
+    net::asio::steady_timer timer;
+    net::Clock::time_point started, give_up;
+    std::shared_ptr<const core::Payload> payload;
+    Stop stop = Stop::none;
+    bool written = false;
+  };
+
+  net::awaitable<void> run(std::shared_ptr<Call> call);
+  net::awaitable<bool> open(Call& call);
+  net::awaitable<core::AttemptResult> exchange(Call& call);
+  std::unique_ptr<Connection> reuse(Worker& worker);
+  core::AttemptResult broken(const Call& call) const;
+  void limit(const std::shared_ptr<Call>& call, net::Clock::time_point at);
+  void close(Call& call, Stop stop);
+  bool make_room();
+  net::awaitable<void> sweep();
+
+  net::asio::io_context& io_;
+  core::Core& core_;
+  const Limits limits_;
+  metrics::Logger& logger_;
+  metrics::Counters& counters_;
+  std::unordered_map<std::string, std::shared_ptr<Worker>> workers_;
+  std::unordered_map<core::RpcId, std::shared_ptr<Call>> calls_;
+  net::asio::steady_timer sweeper_;
+  std::size_t connections_ = 0;
+};
+
+}  // namespace cranemux::attempt
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,62 @@
+// The one place where configuration is read, checked and given defaults.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/settings.h"
+#include "json/json.h"
+
+namespace cranemux::config {
+
+struct Error : std::runtime_error {  // what() names the faulty key
+  using std::runtime_error::runtime_error;
+};
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+// One worker in discovery's form.
+struct ListEntry {
+  std::string name, state;
+  Address address;
+  std::string zone;
+  int cell = 0;
+  double weight = 1;
+  std::chrono::milliseconds since{};  // Unix time; 0: long ago
+};
+struct ResolverResult {
+  std::int64_t index = 0;
+  bool snapshot = false;
+  std::vector<ListEntry> entries;
+};
+
+struct Config {
+  std::string name;
+  Address listen, discovery;
+  std::optional<Address> peer_listen;
+  std::vector<Address> peers;
+  std::size_t sockets = 1024;
+  ResolverResult known;
+  pierlead::Settings settings;
+  std::vector<std::string> load_fields;
+  std::chrono::nanoseconds connect_timeout{}, connection_idle{};
+};
+
+Address parse_address(std::string_view text, const std::string& key);
+ResolverResult parse_resolver_result(const json::Value& value, const std::string& key);
+
+using Environment = std::function<std::optional<std::string>(const char*)>;
+// ROUTER_CONFIG names the file; the other variables win over what it holds.
+Config load(const Environment& environment);
+Config parse(std::string_view text);
+std::string read_file(const std::string& path, const std::string& key);
+
+}  // namespace cranemux::config
--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,248 @@
+#include "core/core.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace cranemux::core {
+namespace {
+
+constexpr std::chrono::milliseconds kGuard{4};  // before the deadline, when the module has not answered
+constexpr std::size_t kMostCustomers = 4096;    // that the console's table keeps
+
+template <class... Ts>
+struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+Core::Core(const pierlead::Settings& settings, metrics::Logger& logger, metrics::Counters& counters)
+    : settings_(settings), logger_(logger), counters_(counters), brain_(settings) {}
+
+void Core::connect(CallAttempts& attempts, Peers& peers, Host& host) {
+  attempts_ = &attempts;
+  peers_ = &peers;
+  host_ = &host;
+}
+
+bool Core::knows_class(const std::string& name) const {
+  return std::any_of(settings_.classes.begin(), settings_.classes.end(),
+                     [&](const auto& c) { return c.name == name; });
+}
+
+bool Core::unsafe_class(const std::string& name) const {
+  return std::any_of(settings_.classes.begin(), settings_.classes.end(),
+                     [&](const auto& c) { return c.name == name && c.repeat == pierlead::Repeat::unsafe; });
+}
+
+const pierlead::PlanSettings* Core::plan(const std::string& name) const {
+  for (const auto& p : settings_.plans) {
+    if (p.name == name) return &p;
+  }
+  return nullptr;
+}
+
+RpcId Core::take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel) {
+  const auto id = ++last_id_;
+  ++counters_.rpcs_taken;
+  ++unanswered_;
+  Rpc rpc;
+  rpc.unsafe = unsafe_class(terms.klass);
+  rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, terms.budget - kGuard);
+  rpc.payload = std::move(payload);
+  rpc.channel = std::move(channel);
+  guards_.emplace(rpc.guard, id);
+  push(pierlead::Request{std::to_string(id), terms.klass, terms.plan, terms.customer, terms.budget.count(),
+                         terms.units, terms.first, terms.spread, terms.repeat});
+  rpc.terms = std::move(terms);
+  rpcs_.emplace(id, std::move(rpc));
+  return id;
+}
+
+void Core::abandoned(RpcId id) {
+  const auto at = rpcs_.find(id);
+  if (at == rpcs_.end() || !at->second.channel) return;
+  ++counters_.rpcs_abandoned;
+  --unanswered_;
+  at->second.channel.reset();
+  at->second.gone = true;
+  guards_.erase({at->second.guard, id});
+  push(pierlead::Gone{std::to_string(id)});
+  drop_if_over(id);
+}
+
+void Core::attempt_ended(RpcId id, int attempt, AttemptResult&& result) {
+  using pierlead::Result;
+  count(result.result);
+  const auto at = rpcs_.find(id);
+  if (at == rpcs_.end()) return;
+  auto& rpc = at->second;
+  rpc.out = false;
+  const bool never_ran = result.result == Result::full || result.result == Result::connect_failed ||
+                         result.result == Result::moot;
+  rpc.may_have_run = rpc.may_have_run || !never_ran;
+  if (result.result == Result::ok && rpc.channel) {
+    finish(id, rpc, {Ending::served, std::move(result.body), {}});
+  }
+  pierlead::Outcome outcome;
+  outcome.request = std::to_string(id);
+  outcome.attempt = attempt;
+  outcome.result = result.result;
+  outcome.took = result.took.count();
+  outcome.finished = !rpc.channel;
+  outcome.settled_units = result.true_units;
+  outcome.load = result.load;
+  push(std::move(outcome));
+  drop_if_over(id);
+}
+
+void Core::resolved(pierlead::ServerList&& list) { push(std::move(list)); }
+
+void Core::peer_said(int from, std::string bytes) { push(pierlead::PeerMessage{from, std::move(bytes)}); }
+
+void Core::turn() {
+  const auto now = Clock::now();
+  turn_asked_ = true;  // what happens during the step is taken up after it
+  guard_deadlines(now);
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    events_.emplace_back(pierlead::Timer{timers_.begin()->second});
+    timers_.erase(timers_.begin());
+  }
+  if (!events_.empty()) {
+    std::swap(events_, stepping_);
+    actions_.clear();
+    brain_.step(std::chrono::duration_cast<nanoseconds>(now.time_since_epoch()).count(), stepping_, actions_);
+    stepping_.clear();
+    for (const auto& action : actions_) carry_out(action);
+  }
+  turn_asked_ = !events_.empty();
+  if (turn_asked_) host_->turn_soon();
+  auto next = timers_.empty() ? Clock::time_point::max() : timers_.begin()->first;
+  if (!guards_.empty()) next = std::min(next, guards_.begin()->first);
+  host_->turn_at(next);
+}
+
+void Core::guard_deadlines(Clock::time_point now) {
+  while (!guards_.empty() && guards_.begin()->first <= now) {
+    const auto id = guards_.begin()->second;
+    auto& rpc = rpcs_.at(id);
+    ++counters_.deadline_guards;
+    const bool harmless = !rpc.unsafe || (!rpc.may_have_run && !rpc.out);
+    finish(id, rpc, {harmless ? Ending::unavailable : Ending::failed, {}, {}});
+    rpc.gone = true;
+    events_.emplace_back(pierlead::Gone{std::to_string(id)});
+    drop_if_over(id);
+  }
+}
+
+void Core::finish(RpcId id, Rpc& rpc, FinalAnswer&& answer) {
+  if (answer.ending == Ending::served) ++counters_.rpcs_served;
+  if (answer.ending == Ending::unavailable) ++counters_.rpcs_unavailable;
+  if (answer.ending == Ending::failed) ++counters_.rpcs_failed;
+  if (answer.ending == Ending::unavailable) {
+    if (const auto use = use_.find(rpc.terms.customer); use != use_.end()) ++use->second.unavailable;
+  }
+  --unanswered_;
+  guards_.erase({rpc.guard, id});
+  const auto channel = std::exchange(rpc.channel, nullptr);
+  channel->answer(id, std::move(answer));
+}
+
+void Core::drop_if_over(RpcId id) {
+  const auto at = rpcs_.find(id);
+  if (at != rpcs_.end() && !at->second.channel && !at->second.out) rpcs_.erase(at);
+}
+
+Core::Rpc* Core::find(const std::string& text, RpcId& id) {
+  std::from_chars(text.data(), text.data() + text.size(), id);
+  const auto at = rpcs_.find(id);
+  return at == rpcs_.end() ? nullptr : &at->second;
+}
+
+void Core::send(const pierlead::Send& send) {
+  RpcId id = 0;
+  auto* rpc = find(send.request, id);
+  if (!rpc || !rpc->channel || rpc->out || (rpc->unsafe && rpc->may_have_run)) {
+    // Over, or a second copy, or a second run of what must run once: never sent.
+    if (rpc) ++rpc->attempts;
+    ++counters_.attempts_moot;
+    logger_.log(metrics::Level::debug, "moot call attempt of rpc ", id);
+    return push(pierlead::Outcome{
+        send.request, rpc ? rpc->attempts - 1 : 0, pierlead::Result::moot, 0, !rpc || !rpc->channel, 0, {}});
+  }
+  if (rpc->attempts == 0 && (use_.size() < kMostCustomers || use_.count(rpc->terms.customer))) {
+    auto& use = use_[rpc->terms.customer];
+    use.plan = rpc->terms.plan;
+    use.units += rpc->terms.units;
+    ++use.rpcs;
+  }
+  rpc->out = true;
+  ++counters_.attempts_sent;
+  attempts_->start(id, rpc->attempts++, send.server, nanoseconds(send.patience), rpc->payload);
+}
+
+void Core::carry_out(const pierlead::Action& action) {
+  const auto end = [&](const std::string& request, Ending ending, pierlead::Nanos retry_after) {
+    RpcId id = 0;
+    auto* rpc = find(request, id);
+    if (!rpc || !rpc->channel) return;
+    // What may have run is never called harmless to repeat.
+    if (rpc->unsafe && (rpc->may_have_run || rpc->out)) ending = Ending::failed;
+    finish(id, *rpc, {ending, {}, nanoseconds(retry_after)});
+    drop_if_over(id);
+  };
+  std::visit(Overloaded{
+                 [&](const pierlead::Send& a) { send(a); },
+                 [&](const pierlead::Cancel& a) {
+                   RpcId id = 0;
+                   if (const auto* rpc = find(a.request, id); rpc && rpc->out) {
+                     attempts_->cancel(id, a.attempt);
+                   }
+                 },
+                 [&](const pierlead::Refuse& a) { end(a.request, Ending::unavailable, a.retry_after); },
+                 [&](const pierlead::Fail& a) { end(a.request, Ending::failed, 0); },
+                 [&](const pierlead::SetTimer& a) {
+                   timers_.emplace(Clock::time_point(nanoseconds(a.at)), a.token);
+                 },
+                 [&](const pierlead::Tell& a) { peers_->tell(a.to, a.bytes); },
+                 [&](const pierlead::Log& a) { logger_.log(metrics::Level::info, a.text); },
+                 [&](const pierlead::Watch&) {},  // the resolver always watches
+                 [&](const pierlead::Probe&) {},  // no site of ours permits probes
+             },
+             action);
+}
+
+void Core::count(pierlead::Result result) {
+  using pierlead::Result;
+  switch (result) {
+    case Result::ok:
+      ++counters_.attempts_ok;
+      break;
+    case Result::error:
+      ++counters_.attempts_error;
+      break;
+    case Result::full:
+      ++counters_.attempts_full;
+      break;
+    case Result::timeout:
+      ++counters_.attempts_timeout;
+      break;
+    case Result::connect_failed:
+      ++counters_.attempts_connect_failed;
+      break;
+    case Result::reset:
+      ++counters_.attempts_reset;
+      break;
+    case Result::cancelled:
+      ++counters_.attempts_cancelled;
+      break;
+    case Result::moot:
+      ++counters_.attempts_moot;
+      break;
+  }
+}
+
+}  // namespace cranemux::core
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,151 @@
+// The core of the gatekeeper: owns the decision module and the RPCs in flight. It turns what happens into
+// the module's events and the module's actions into calls on the interfaces below. It knows no wire.
+// It guarantees each RPC one final answer, in time, and one call attempt out at a time.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "metrics/counters.h"
+#include "metrics/logger.h"
+#include "pierlead/brain.h"
+
+namespace cranemux::core {
+
+using Clock = std::chrono::steady_clock;
+using RpcId = std::uint64_t;
+using std::chrono::nanoseconds;
+
+struct RpcTerms {
+  std::string klass, plan, customer;
+  nanoseconds budget{};  // until the client gives up
+  double units = 1;
+  int first = 0, spread = 1;
+  bool repeat = false;
+};
+
+// What call attempts carry to a worker: made by a front, read by the attempt layer only.
+struct Payload {
+  virtual ~Payload() = default;
+};
+
+enum class Ending { served, unavailable, failed };
+struct FinalAnswer {
+  Ending ending = Ending::failed;
+  std::string body;           // served: the worker's
+  nanoseconds retry_after{};  // unavailable: when to come back
+};
+
+// The client's side of an RPC. Called once for each RPC that the client has not left.
+class Channel {
+ public:
+  virtual ~Channel() = default;
+  virtual void answer(RpcId rpc, FinalAnswer&& answer) = 0;
+};
+
+struct AttemptResult {
+  pierlead::Result result = pierlead::Result::ok;
+  nanoseconds took{};
+  pierlead::LoadReport load;
+  std::string body;
+  double true_units = 0;
+};
+
+class CallAttempts {
+ public:
+  virtual ~CallAttempts() = default;
+  // Each start is followed by one attempt_ended, never from within the call.
+  virtual void start(RpcId rpc, int attempt, const std::string& worker, nanoseconds patience,
+                     const std::shared_ptr<const Payload>& payload) = 0;
+  virtual void cancel(RpcId rpc, int attempt) = 0;
+};
+
+class Peers {
+ public:
+  virtual ~Peers() = default;
+  virtual void tell(int to, const std::string& bytes) = 0;
+};
+
+class Host {  // has turn() called
+ public:
+  virtual ~Host() = default;
+  virtual void turn_soon() = 0;
+  virtual void turn_at(Clock::time_point at) = 0;  // replaces the time asked for before
+};
+
+class Core {
+ public:
+  Core(const pierlead::Settings& settings, metrics::Logger& logger, metrics::Counters& counters);
+
+  void connect(CallAttempts& attempts, Peers& peers, Host& host);
+  bool knows_class(const std::string& name) const;
+  bool unsafe_class(const std::string& name) const;
+  const pierlead::PlanSettings* plan(const std::string& name) const;
+  const pierlead::Settings& settings() const { return settings_; }
+
+  RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
+  void abandoned(RpcId rpc);  // its client has gone
+  void attempt_ended(RpcId rpc, int attempt, AttemptResult&& result);
+  void resolved(pierlead::ServerList&& list);
+  void peer_said(int from, std::string bytes);
+  void turn();  // one step of the module, with all that has happened since the last
+
+  std::size_t in_flight() const { return unanswered_; }
+  // Units sent on by customer since the start, for the console.
+  struct Use {
+    std::string plan;
+    double units = 0;
+    std::uint64_t rpcs = 0, unavailable = 0;
+  };
+  const std::map<std::string, Use>& use() const { return use_; }
+
+ private:
+  struct Rpc {
+    RpcTerms terms;
+    std::shared_ptr<const Payload> payload;
+    std::shared_ptr<Channel> channel;  // none once answered
+    Clock::time_point guard;           // answered by the core itself by then
+    int attempts = 0;
+    bool out = false, unsafe = false, may_have_run = false, gone = false;
+  };
+  using Rpcs = std::unordered_map<RpcId, Rpc>;
+
+  template <typename What>
+  void push(What&& event) {
+    events_.emplace_back(std::forward<What>(event));
+    if (!std::exchange(turn_asked_, true)) host_->turn_soon();
+  }
+  Rpc* find(const std::string& id, RpcId& number);
+  void finish(RpcId id, Rpc& rpc, FinalAnswer&& answer);
+  void drop_if_over(RpcId id);
+  void carry_out(const pierlead::Action& action);
+  void send(const pierlead::Send& send);
+  void guard_deadlines(Clock::time_point now);
+  void count(pierlead::Result result);
+
+  const pierlead::Settings settings_;
+  metrics::Logger& logger_;
+  metrics::Counters& counters_;
+  CallAttempts* attempts_ = nullptr;
+  Peers* peers_ = nullptr;
+  Host* host_ = nullptr;
+  pierlead::Brain brain_;
+  std::vector<pierlead::Event> events_, stepping_;
+  std::vector<pierlead::Action> actions_;
+  std::multimap<Clock::time_point, std::uint64_t> timers_;
+  std::set<std::pair<Clock::time_point, RpcId>> guards_;
+  Rpcs rpcs_;
+  std::map<std::string, Use> use_;
+  RpcId last_id_ = 0;
+  std::size_t unanswered_ = 0;
+  bool turn_asked_ = false;
+};
+
+}  // namespace cranemux::core
--- /dev/null
+++ b/src/front/platform/platform.h
@@ -0,0 +1,26 @@
+// The platform's protocol: a thin front.
+#pragma once
+
+#include "attempt/attempts.h"
+#include "front/channel_server.h"
+
+namespace cranemux::front {
+
+class PlatformFront : public Front {
+ public:
+  PlatformFront(core::Core& core, std::vector<std::string> load_fields);
+  Handled request(const http::Message& message, const std::shared_ptr<core::Channel>& channel) override;
+  Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) override;
+  Reply malformed(int status) override;
+
+ private:
+  core::Core& core_;
+  std::shared_ptr<const std::vector<std::string>> load_fields_;
+};
+
+// `TEXT inflight=7, queue=2`: the fields that the settings name.
+pierlead::LoadReport parse_load(std::string_view text, const std::vector<std::string>& fields);
+// Whole seconds, or with three digits behind the point.
+std::string retry_after_field(std::chrono::nanoseconds after);
+
+}  // namespace cranemux::front
--- /dev/null
+++ b/src/net/net.h
@@ -0,0 +1,51 @@
+// What all socket code shares: names for Boost.Asio, endpoints, and spawning a coroutine.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "config/config.h"
+#include "metrics/logger.h"
+
+namespace cranemux::net {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+using asio::ip::udp;
+using Clock = std::chrono::steady_clock;
+
+// Errors come as values: a broken connection is an ordinary event.
+constexpr auto kResult = asio::as_tuple(asio::use_awaitable);
+
+template <typename Protocol>
+typename Protocol::endpoint endpoint(const config::Address& address) {
+  return {asio::ip::make_address(address.host == "localhost" ? "127.0.0.1" : address.host), address.port};
+}
+
+// A coroutine of its own. One that throws is logged and ends; the program goes on.
+template <typename Executor>
+void spawn(Executor&& executor, metrics::Logger& logger, const char* what, awaitable<void> work) {
+  asio::co_spawn(std::forward<Executor>(executor), std::move(work), [&logger, what](std::exception_ptr error) {
+    if (!error) return;
+    try {
+      std::rethrow_exception(error);
+    } catch (const std::exception& e) {
+      logger.log(metrics::Level::error, what, ": ", e.what());
+    }
+  });
+}
+
+// Reads what has come to the end of `buffer`; 0 at the end of the connection or on an error.
+inline awaitable<std::size_t> read_more(tcp::socket& socket, std::string& buffer, std::size_t piece = 4096) {
+  const auto had = buffer.size();
+  buffer.resize(had + piece);
+  auto [error, count] = co_await socket.async_read_some(asio::buffer(buffer.data() + had, piece), kResult);
+  buffer.resize(had + (error ? 0 : count));
+  co_return error ? 0 : count;
+}
+
+}  // namespace cranemux::net
--- /dev/null
+++ b/src/resolver/resolver.cpp
@@ -0,0 +1,150 @@
+#include "resolver/resolver.h"
+
+#include <algorithm>
+
+#include "http/http.h"
+
+namespace cranemux::resolver {
+namespace {
+
+constexpr std::chrono::seconds kSilence{7};  // an empty line comes every 2 s
+constexpr std::chrono::milliseconds kFirstWait{50}, kLongestWait{1000};
+constexpr std::size_t kMostLine = 4 * 1024 * 1024;
+
+pierlead::ServerState state_of(const std::string& text) {
+  if (text == "active") return pierlead::ServerState::running;
+  return text == "leaving" ? pierlead::ServerState::draining : pierlead::ServerState::gone;
+}
+
+}  // namespace
+
+std::chrono::nanoseconds start_on_steady_clock(std::chrono::milliseconds since,
+                                               std::chrono::nanoseconds to_steady) {
+  if (since.count() == 0) return {};
+  return std::max(std::chrono::nanoseconds(1), std::chrono::nanoseconds(since) + to_steady);
+}
+
+Resolver::Resolver(net::asio::io_context& io, core::Core& core, const config::Address& discovery,
+                   Listener listener, metrics::Logger& logger, metrics::Counters& counters)
+    : socket_(io),
+      timer_(io),
+      core_(core),
+      discovery_(discovery),
+      listener_(std::move(listener)),
+      logger_(logger),
+      counters_(counters) {
+  to_steady_ = net::Clock::now().time_since_epoch() - std::chrono::system_clock::now().time_since_epoch();
+}
+
+void Resolver::start(const config::ResolverResult& known) {
+  index_ = known.index;
+  pass_on(known, pierlead::ListScope::stored);
+  net::spawn(socket_.get_executor(), logger_, "discovery", watch());
+}
+
+void Resolver::stop() {
+  stopped_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+void Resolver::pass_on(const config::ResolverResult& result, pierlead::ListScope scope) {
+  pierlead::ServerList list;
+  list.scope = scope;
+  for (const auto& entry : result.entries) {
+    pierlead::ServerEntry server;
+    server.id = entry.name;
+    server.zone = entry.zone;
+    server.cell = entry.cell;
+    server.state = state_of(entry.state);
+    server.weight = entry.weight;
+    server.started = start_on_steady_clock(entry.since, to_steady_).count();
+    list.servers.push_back(std::move(server));
+  }
+  listener_(result, scope != pierlead::ListScope::changes);
+  core_.resolved(std::move(list));
+}
+
+net::awaitable<void> Resolver::watch() {
+  auto wait = kFirstWait;
+  while (!stopped_) {
+    good_ = false;
+    co_await follow();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    if (stopped_) co_return;
+    ++counters_.resolver_breaks;
+    wait = good_ ? kFirstWait : std::min(kLongestWait, wait * 2);
+    timer_.expires_after(wait);
+    co_await timer_.async_wait(net::kResult);
+  }
+}
+
+net::awaitable<void> Resolver::follow() {
+  // Silence ends the watch: a connection to a machine that has vanished stays open.
+  const auto allow = [this] {
+    timer_.expires_after(kSilence);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      boost::system::error_code ignored;
+      if (!error && timer_.expiry() <= net::Clock::now()) socket_.close(ignored);
+    });
+  };
+  allow();
+  const auto [refused] = co_await socket_.async_connect(net::endpoint<net::tcp>(discovery_), net::kResult);
+  if (refused) co_return;
+  const auto request = "GET /registry/instances?watch=1&after=" + std::to_string(index_) +
+                       " HTTP/1.1\r\nHost: " + discovery_.host + "\r\n\r\n";
+  const auto [failed, written] =
+      co_await net::asio::async_write(socket_, net::asio::buffer(request), net::kResult);
+  if (failed) co_return;
+  std::string in, text;
+  bool headed = false, done = false;
+  while (!done) {
+    if (co_await net::read_more(socket_, in, 16 * 1024) == 0) co_return;
+    allow();
+    if (!headed) {
+      http::Message head;
+      const auto verdict = http::parse_head(in, http::Kind::response, head);
+      if (verdict.state == http::State::partial) continue;
+      const auto coding = head.field("Transfer-Encoding");
+      if (verdict.state == http::State::bad || head.status != 200 || !coding ||
+          !http::same_name(*coding, "chunked")) {
+        ++counters_.resolver_bad;
+        co_return;
+      }
+      in.erase(0, head.size);
+      headed = true;
+    }
+    if (!http::take_chunks(in, text, done) || text.size() + in.size() > kMostLine) {
+      ++counters_.resolver_bad;
+      co_return;
+    }
+    std::size_t at = 0;
+    for (auto end = text.find('\n'); end != std::string::npos; end = text.find('\n', at)) {
+      line(std::string_view(text).substr(at, end - at));
+      at = end + 1;
+    }
+    text.erase(0, at);
+  }
+}
+
+void Resolver::line(std::string_view text) {
+  while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) text.remove_suffix(1);
+  if (text.empty()) return;
+  try {
+    const auto result = config::parse_resolver_result(json::parse(text), "discovery");
+    ++counters_.resolver_results;
+    good_ = true;
+    index_ = result.index;
+    pass_on(result, result.snapshot ? pierlead::ListScope::full : pierlead::ListScope::changes);
+  } catch (const std::exception& error) {  // damaged: the next watch brings the whole list
+    ++counters_.resolver_bad;
+    index_ = 0;
+    logger_.log(metrics::Level::warning, "discovery: ", error.what());
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+}
+
+}  // namespace cranemux::resolver
--- /dev/null
+++ b/src/resolver/resolver.h
@@ -0,0 +1,45 @@
+// Discovery: the first list from the configuration, then a watch that is opened again whenever it breaks.
+#pragma once
+
+#include <functional>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "net/net.h"
+
+namespace cranemux::resolver {
+
+class Resolver {
+ public:
+  // Told each resolver result, and whether it is the whole list.
+  using Listener = std::function<void(const config::ResolverResult&, bool whole)>;
+
+  Resolver(net::asio::io_context& io, core::Core& core, const config::Address& discovery, Listener listener,
+           metrics::Logger& logger, metrics::Counters& counters);
+  void start(const config::ResolverResult& known);
+  void stop();
+
+ private:
+  net::awaitable<void> watch();
+  net::awaitable<void> follow();  // one watch, until it breaks
+  void line(std::string_view text);
+  void pass_on(const config::ResolverResult& result, pierlead::ListScope scope);
+
+  net::tcp::socket socket_;
+  net::asio::steady_timer timer_;
+  core::Core& core_;
+  const config::Address discovery_;
+  Listener listener_;
+  metrics::Logger& logger_;
+  metrics::Counters& counters_;
+  std::chrono::nanoseconds to_steady_{};  // steady clock less Unix time, fixed at the start
+  std::int64_t index_ = 0;
+  bool stopped_ = false;
+  bool good_ = false;  // this watch has brought something
+};
+
+// A worker's start on the module's clock; 0 stays 0, 'long ago'.
+std::chrono::nanoseconds start_on_steady_clock(std::chrono::milliseconds since,
+                                               std::chrono::nanoseconds to_steady);
+
+}  // namespace cranemux::resolver
