--- a/src/net/net.h
+++ b/src/net/net.h
@@ -29,14 +29,15 @@
 // A coroutine of its own. One that throws is logged and ends; the program goes on.
 template <typename Executor>
 void spawn(Executor&& executor, metrics::Logger& logger, const char* what, awaitable<void> work) {
-  asio::co_spawn(std::forward<Executor>(executor), std::move(work), [&logger, what](std::exception_ptr error) {
-    if (!error) return;
-    try {
-      std::rethrow_exception(error);
-    } catch (const std::exception& e) {
-      logger.log(metrics::Level::error, what, ": ", e.what());
-    }
-  });
+  asio::co_spawn(std::forward<Executor>(executor), std::move(work),
+                 [&logger, what](std::exception_ptr error) {
+                   if (!error) return;
+                   try {
+                     std::rethrow_exception(error);
+                   } catch (const std::exception& e) {
+                     logger.log(metrics::Level::error, what, ": ", e.what());
+                   }
+                 });
 }
 
 // Reads what has come to the end of `buffer`; 0 at the end of the connection or on an error.
