--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -1,4 +1,4 @@
-// pierlead_adapter: hosts one Brain for each front door and speaks the simulator's wire.
+// cranemux_adapter: hosts one Brain for each front door and speaks the simulator's wire.
 #include <cstdio>
 #include <exception>
 #include <iostream>
@@ -8,9 +8,9 @@
 int main() {
   std::ios::sync_with_stdio(false);
   try {
-    pierlead::wire::serve(std::cin, std::cout);
+    cranemux::wire::serve(std::cin, std::cout);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "pierlead_adapter: %s\n", error.what());
+    std::fprintf(stderr, "cranemux_adapter: %s\n", error.what());
     return 1;
   }
   return 0;
--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -4,7 +4,7 @@
 #include <istream>
 #include <ostream>
 
-namespace pierlead::wire {
+namespace cranemux::wire {
 
 using config::choose;
 using config::flag_of;
@@ -308,4 +308,4 @@
   }
 }
 
-}  // namespace pierlead::wire
+}  // namespace cranemux::wire
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "config/settings.h"
-#include "pierlead/brain.h"
+#include "cranemux/brain.h"
 
-namespace pierlead::wire {
+namespace cranemux::wire {
 
 using config::Fields;
 using config::parse_settings;
@@ -23,4 +23,4 @@
 // Reads batches from `in` until it ends and writes a reply to each. Throws ParseError.
 void serve(std::istream& in, std::ostream& out);
 
-}  // namespace pierlead::wire
+}  // namespace cranemux::wire
--- a/include/pierlead/brain.h
+++ b/include/cranemux/brain.h
@@ -1,12 +1,12 @@
-// The whole interface of pierlead: settings, events, actions, and Brain, one per front door.
+// The whole interface of cranemux: settings, events, actions, and Brain, one per front door.
 //
 // A front door makes one Brain when it starts, then calls step() whenever something has happened,
 // with all that happened since the last call, in order. The actions it gets back are carried out in
 // the order given, at the same clock time. A minimal loop:
 //
-//     pierlead::Brain brain(settings);                 // throws std::invalid_argument
-//     std::vector<pierlead::Event> events{pierlead::ServerList{...}};
-//     std::vector<pierlead::Action> actions;
+//     cranemux::Brain brain(settings);                 // throws std::invalid_argument
+//     std::vector<cranemux::Event> events{cranemux::ServerList{...}};
+//     std::vector<cranemux::Action> actions;
 //     for (;;) {
 //         actions.clear();
 //         brain.step(clock_ns(), events, actions);     // never blocks, keeps no reference
@@ -27,7 +27,7 @@
 #include <variant>
 #include <vector>
 
-namespace pierlead {
+namespace cranemux {
 
 using Nanos = std::int64_t;
 
@@ -205,4 +205,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace pierlead
+}  // namespace cranemux
--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -7,8 +7,8 @@
 namespace cranemux::attempt {
 namespace {
 
+using cranemux::Result;
 using net::Clock;
-using pierlead::Result;
 constexpr std::chrono::seconds kSweep{1};
 constexpr std::chrono::milliseconds kDrainMargin{20};  // before the grace of a drain ends
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,8 +1,8 @@
-// pierlead: every decision of a quota gateway. Interface: include/pierlead/brain.h
+// cranemux: every decision of a quota gateway. Interface: include/cranemux/brain.h
 //
 // Contents: tuned values; records; quota ledger and split; ceilings; held requests; peer messages; keepers;
 // server choice and health; attempts and answers; the clock.
-#include "pierlead/brain.h"
+#include "cranemux/brain.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,7 +14,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace pierlead {
+namespace cranemux {
 namespace {
 
 // ---- tuned values -------------------------------------------------------------------------------
@@ -167,7 +167,7 @@
  private:
   static void check(const Settings& s) {
     const auto need = [](bool good, const char* what) {
-      if (!good) throw std::invalid_argument(std::string("pierlead: ") + what);
+      if (!good) throw std::invalid_argument(std::string("cranemux: ") + what);
     };
     need(s.gateways >= 1 && s.index >= 0 && s.index < s.gateways, "index must lie within gateways");
     need(!s.classes.empty() && s.max_attempts >= 1 && s.most_units > 0, "a class, an attempt and a unit");
@@ -933,4 +933,4 @@
   impl_->step(now, events, actions);
 }
 
-}  // namespace pierlead
+}  // namespace cranemux
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,7 +6,7 @@
 namespace cranemux::config {
 namespace {
 
-using pierlead::config::Fields;
+using cranemux::config::Fields;
 
 const json::Value& need(const json::Value& value, const std::string& name, const std::string& path) {
   const auto* found = value.find(name);
@@ -79,8 +79,8 @@
   if (colon == std::string_view::npos || colon == 0) throw Error(key + ": must be address:port");
   Address address{std::string(text.substr(0, colon)), 0};
   try {
-    address.port = pierlead::config::parse_number<std::uint16_t>(text.substr(colon + 1), key);
-  } catch (const pierlead::config::ParseError&) {
+    address.port = cranemux::config::parse_number<std::uint16_t>(text.substr(colon + 1), key);
+  } catch (const cranemux::config::ParseError&) {
     throw Error(key + ": must be address:port");
   }
   return address;
@@ -153,7 +153,7 @@
   Fields info;
   flatten(need(root, "settings", ""), "", info);
   try {
-    config.settings = pierlead::config::parse_settings(info);
+    config.settings = cranemux::config::parse_settings(info);
     if (const auto* seed = root.find("seed"); seed && seed->string()) {
       const auto& hex = *seed->string();
       const auto* end = hex.data() + hex.size();
@@ -161,17 +161,17 @@
         throw Error("seed: must be a number in hex");
       }
     }
-    using pierlead::config::number_of;
+    using cranemux::config::number_of;
     config.connect_timeout =
         std::chrono::nanoseconds(number_of<std::int64_t>(info, "caps.connect-timeout-ns", 250'000'000));
     config.connection_idle =
         std::chrono::nanoseconds(number_of<std::int64_t>(info, "caps.conn-idle-ns", 30'000'000'000));
-  } catch (const pierlead::config::ParseError& error) {
+  } catch (const cranemux::config::ParseError& error) {
     throw Error(std::string("settings: ") + error.what());
   }
   if (config.settings.classes.empty()) throw Error("settings.classes: must hold a class");
   if (config.connect_timeout.count() <= 0) throw Error("settings.caps.connect-timeout-ns: must be above 0");
-  config.load_fields = split(pierlead::config::text_of(info, "stats.fields"));
+  config.load_fields = split(cranemux::config::text_of(info, "stats.fields"));
   if (config.settings.peers && !config.peers.empty() &&
       config.peers.size() != static_cast<std::size_t>(config.settings.gateways)) {
     throw Error("peers: must hold one address for each gatekeeper");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -45,7 +45,7 @@
   std::vector<Address> peers;
   std::size_t sockets = 1024;
   ResolverResult known;
-  pierlead::Settings settings;
+  cranemux::Settings settings;
   std::vector<std::string> load_fields;
   std::chrono::nanoseconds connect_timeout{}, connection_idle{};
 };
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,6 +1,6 @@
 #include "config/settings.h"
 
-namespace pierlead::config {
+namespace cranemux::config {
 
 const std::string* find(const Fields& fields, std::string_view name) {
   const auto found = fields.find(name);
@@ -87,4 +87,4 @@
   return s;
 }
 
-}  // namespace pierlead::config
+}  // namespace cranemux::config
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <utility>
 
-#include "pierlead/brain.h"
+#include "cranemux/brain.h"
 
-namespace pierlead::config {
+namespace cranemux::config {
 
 struct ParseError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -52,4 +52,4 @@
 
 Settings parse_settings(const Fields& info);
 
-}  // namespace pierlead::config
+}  // namespace cranemux::config
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-Core::Core(const pierlead::Settings& settings, metrics::Logger& logger, metrics::Counters& counters)
+Core::Core(const cranemux::Settings& settings, metrics::Logger& logger, metrics::Counters& counters)
     : settings_(settings), logger_(logger), counters_(counters), brain_(settings) {}
 
 void Core::connect(CallAttempts& attempts, Peers& peers, Host& host) {
@@ -35,10 +35,10 @@
 
 bool Core::unsafe_class(const std::string& name) const {
   return std::any_of(settings_.classes.begin(), settings_.classes.end(),
-                     [&](const auto& c) { return c.name == name && c.repeat == pierlead::Repeat::unsafe; });
+                     [&](const auto& c) { return c.name == name && c.repeat == cranemux::Repeat::unsafe; });
 }
 
-const pierlead::PlanSettings* Core::plan(const std::string& name) const {
+const cranemux::PlanSettings* Core::plan(const std::string& name) const {
   for (const auto& p : settings_.plans) {
     if (p.name == name) return &p;
   }
@@ -55,7 +55,7 @@
   rpc.payload = std::move(payload);
   rpc.channel = std::move(channel);
   guards_.emplace(rpc.guard, id);
-  push(pierlead::Request{std::to_string(id), terms.klass, terms.plan, terms.customer, terms.budget.count(),
+  push(cranemux::Request{std::to_string(id), terms.klass, terms.plan, terms.customer, terms.budget.count(),
                          terms.units, terms.first, terms.spread, terms.repeat});
   rpc.terms = std::move(terms);
   rpcs_.emplace(id, std::move(rpc));
@@ -70,12 +70,12 @@
   at->second.channel.reset();
   at->second.gone = true;
   guards_.erase({at->second.guard, id});
-  push(pierlead::Gone{std::to_string(id)});
+  push(cranemux::Gone{std::to_string(id)});
   drop_if_over(id);
 }
 
 void Core::attempt_ended(RpcId id, int attempt, AttemptResult&& result) {
-  using pierlead::Result;
+  using cranemux::Result;
   count(result.result);
   const auto at = rpcs_.find(id);
   if (at == rpcs_.end()) return;
@@ -87,7 +87,7 @@
   if (result.result == Result::ok && rpc.channel) {
     finish(id, rpc, {Ending::served, std::move(result.body), {}});
   }
-  pierlead::Outcome outcome;
+  cranemux::Outcome outcome;
   outcome.request = std::to_string(id);
   outcome.attempt = attempt;
   outcome.result = result.result;
@@ -99,16 +99,16 @@
   drop_if_over(id);
 }
 
-void Core::resolved(pierlead::ServerList&& list) { push(std::move(list)); }
+void Core::resolved(cranemux::ServerList&& list) { push(std::move(list)); }
 
-void Core::peer_said(int from, std::string bytes) { push(pierlead::PeerMessage{from, std::move(bytes)}); }
+void Core::peer_said(int from, std::string bytes) { push(cranemux::PeerMessage{from, std::move(bytes)}); }
 
 void Core::turn() {
   const auto now = Clock::now();
   turn_asked_ = true;  // what happens during the step is taken up after it
   guard_deadlines(now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
-    events_.emplace_back(pierlead::Timer{timers_.begin()->second});
+    events_.emplace_back(cranemux::Timer{timers_.begin()->second});
     timers_.erase(timers_.begin());
   }
   if (!events_.empty()) {
@@ -133,7 +133,7 @@
     const bool harmless = !rpc.unsafe || (!rpc.may_have_run && !rpc.out);
     finish(id, rpc, {harmless ? Ending::unavailable : Ending::failed, {}, {}});
     rpc.gone = true;
-    events_.emplace_back(pierlead::Gone{std::to_string(id)});
+    events_.emplace_back(cranemux::Gone{std::to_string(id)});
     drop_if_over(id);
   }
 }
@@ -162,7 +162,7 @@
   return at == rpcs_.end() ? nullptr : &at->second;
 }
 
-void Core::send(const pierlead::Send& send) {
+void Core::send(const cranemux::Send& send) {
   RpcId id = 0;
   auto* rpc = find(send.request, id);
   if (!rpc || !rpc->channel || rpc->out || (rpc->unsafe && rpc->may_have_run)) {
@@ -170,8 +170,8 @@
     if (rpc) ++rpc->attempts;
     ++counters_.attempts_moot;
     logger_.log(metrics::Level::debug, "moot call attempt of rpc ", id);
-    return push(pierlead::Outcome{
-        send.request, rpc ? rpc->attempts - 1 : 0, pierlead::Result::moot, 0, !rpc || !rpc->channel, 0, {}});
+    return push(cranemux::Outcome{
+        send.request, rpc ? rpc->attempts - 1 : 0, cranemux::Result::moot, 0, !rpc || !rpc->channel, 0, {}});
   }
   if (rpc->attempts == 0 && (use_.size() < kMostCustomers || use_.count(rpc->terms.customer))) {
     auto& use = use_[rpc->terms.customer];
@@ -184,8 +184,8 @@
   attempts_->start(id, rpc->attempts++, send.server, nanoseconds(send.patience), rpc->payload);
 }
 
-void Core::carry_out(const pierlead::Action& action) {
-  const auto end = [&](const std::string& request, Ending ending, pierlead::Nanos retry_after) {
+void Core::carry_out(const cranemux::Action& action) {
+  const auto end = [&](const std::string& request, Ending ending, cranemux::Nanos retry_after) {
     RpcId id = 0;
     auto* rpc = find(request, id);
     if (!rpc || !rpc->channel) return;
@@ -195,28 +195,28 @@
     drop_if_over(id);
   };
   std::visit(Overloaded{
-                 [&](const pierlead::Send& a) { send(a); },
-                 [&](const pierlead::Cancel& a) {
+                 [&](const cranemux::Send& a) { send(a); },
+                 [&](const cranemux::Cancel& a) {
                    RpcId id = 0;
                    if (const auto* rpc = find(a.request, id); rpc && rpc->out) {
                      attempts_->cancel(id, a.attempt);
                    }
                  },
-                 [&](const pierlead::Refuse& a) { end(a.request, Ending::unavailable, a.retry_after); },
-                 [&](const pierlead::Fail& a) { end(a.request, Ending::failed, 0); },
-                 [&](const pierlead::SetTimer& a) {
+                 [&](const cranemux::Refuse& a) { end(a.request, Ending::unavailable, a.retry_after); },
+                 [&](const cranemux::Fail& a) { end(a.request, Ending::failed, 0); },
+                 [&](const cranemux::SetTimer& a) {
                    timers_.emplace(Clock::time_point(nanoseconds(a.at)), a.token);
                  },
-                 [&](const pierlead::Tell& a) { peers_->tell(a.to, a.bytes); },
-                 [&](const pierlead::Log& a) { logger_.log(metrics::Level::info, a.text); },
-                 [&](const pierlead::Watch&) {},  // the resolver always watches
-                 [&](const pierlead::Probe&) {},  // no site of ours permits probes
+                 [&](const cranemux::Tell& a) { peers_->tell(a.to, a.bytes); },
+                 [&](const cranemux::Log& a) { logger_.log(metrics::Level::info, a.text); },
+                 [&](const cranemux::Watch&) {},  // the resolver always watches
+                 [&](const cranemux::Probe&) {},  // no site of ours permits probes
              },
              action);
 }
 
-void Core::count(pierlead::Result result) {
-  using pierlead::Result;
+void Core::count(cranemux::Result result) {
+  using cranemux::Result;
   switch (result) {
     case Result::ok:
       ++counters_.attempts_ok;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -13,9 +13,9 @@
 #include <utility>
 #include <vector>
 
+#include "cranemux/brain.h"
 #include "metrics/counters.h"
 #include "metrics/logger.h"
-#include "pierlead/brain.h"
 
 namespace cranemux::core {
 
@@ -51,9 +51,9 @@
 };
 
 struct AttemptResult {
-  pierlead::Result result = pierlead::Result::ok;
+  cranemux::Result result = cranemux::Result::ok;
   nanoseconds took{};
-  pierlead::LoadReport load;
+  cranemux::LoadReport load;
   std::string body;
   double true_units = 0;
 };
@@ -82,18 +82,18 @@
 
 class Core {
  public:
-  Core(const pierlead::Settings& settings, metrics::Logger& logger, metrics::Counters& counters);
+  Core(const cranemux::Settings& settings, metrics::Logger& logger, metrics::Counters& counters);
 
   void connect(CallAttempts& attempts, Peers& peers, Host& host);
   bool knows_class(const std::string& name) const;
   bool unsafe_class(const std::string& name) const;
-  const pierlead::PlanSettings* plan(const std::string& name) const;
-  const pierlead::Settings& settings() const { return settings_; }
+  const cranemux::PlanSettings* plan(const std::string& name) const;
+  const cranemux::Settings& settings() const { return settings_; }
 
   RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
   void abandoned(RpcId rpc);  // its client has gone
   void attempt_ended(RpcId rpc, int attempt, AttemptResult&& result);
-  void resolved(pierlead::ServerList&& list);
+  void resolved(cranemux::ServerList&& list);
   void peer_said(int from, std::string bytes);
   void turn();  // one step of the module, with all that has happened since the last
 
@@ -125,20 +125,20 @@
   Rpc* find(const std::string& id, RpcId& number);
   void finish(RpcId id, Rpc& rpc, FinalAnswer&& answer);
   void drop_if_over(RpcId id);
-  void carry_out(const pierlead::Action& action);
-  void send(const pierlead::Send& send);
+  void carry_out(const cranemux::Action& action);
+  void send(const cranemux::Send& send);
   void guard_deadlines(Clock::time_point now);
-  void count(pierlead::Result result);
+  void count(cranemux::Result result);
 
-  const pierlead::Settings settings_;
+  const cranemux::Settings settings_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   CallAttempts* attempts_ = nullptr;
   Peers* peers_ = nullptr;
   Host* host_ = nullptr;
-  pierlead::Brain brain_;
-  std::vector<pierlead::Event> events_, stepping_;
-  std::vector<pierlead::Action> actions_;
+  cranemux::Brain brain_;
+  std::vector<cranemux::Event> events_, stepping_;
+  std::vector<cranemux::Action> actions_;
   std::multimap<Clock::time_point, std::uint64_t> timers_;
   std::set<std::pair<Clock::time_point, RpcId>> guards_;
   Rpcs rpcs_;
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -64,9 +64,9 @@
     if (answer.status == 200) {
       result.body = answer.body;
     } else if ((answer.status == 503 || answer.status == 504) && declined) {
-      result.result = pierlead::Result::full;
+      result.result = cranemux::Result::full;
     } else {
-      result.result = pierlead::Result::error;
+      result.result = cranemux::Result::error;
     }
     if (const auto load = answer.field("Srv-Load")) result.load = parse_load(*load, *load_fields_);
     if (const auto cost = answer.field("X-Cost-Units")) result.true_units = number<double>(*cost).value_or(0);
@@ -80,8 +80,8 @@
 
 }  // namespace
 
-pierlead::LoadReport parse_load(std::string_view text, const std::vector<std::string>& fields) {
-  pierlead::LoadReport load;
+cranemux::LoadReport parse_load(std::string_view text, const std::vector<std::string>& fields) {
+  cranemux::LoadReport load;
   text = http::trim(text);
   if (text.starts_with("TEXT ")) text.remove_prefix(5);
   const auto get = [&](std::optional<double>& into, std::string_view setting, std::string_view name) {
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -11,9 +11,9 @@
 constexpr std::chrono::milliseconds kFirstWait{50}, kLongestWait{1000};
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
-pierlead::ServerState state_of(const std::string& text) {
-  if (text == "active") return pierlead::ServerState::running;
-  return text == "leaving" ? pierlead::ServerState::draining : pierlead::ServerState::gone;
+cranemux::ServerState state_of(const std::string& text) {
+  if (text == "active") return cranemux::ServerState::running;
+  return text == "leaving" ? cranemux::ServerState::draining : cranemux::ServerState::gone;
 }
 
 }  // namespace
@@ -38,7 +38,7 @@
 
 void Resolver::start(const config::ResolverResult& known) {
   index_ = known.index;
-  pass_on(known, pierlead::ListScope::stored);
+  pass_on(known, cranemux::ListScope::stored);
   net::spawn(socket_.get_executor(), logger_, "discovery", watch());
 }
 
@@ -49,11 +49,11 @@
   timer_.cancel();
 }
 
-void Resolver::pass_on(const config::ResolverResult& result, pierlead::ListScope scope) {
-  pierlead::ServerList list;
+void Resolver::pass_on(const config::ResolverResult& result, cranemux::ListScope scope) {
+  cranemux::ServerList list;
   list.scope = scope;
   for (const auto& entry : result.entries) {
-    pierlead::ServerEntry server;
+    cranemux::ServerEntry server;
     server.id = entry.name;
     server.zone = entry.zone;
     server.cell = entry.cell;
@@ -62,7 +62,7 @@
     server.started = start_on_steady_clock(entry.since, to_steady_).count();
     list.servers.push_back(std::move(server));
   }
-  listener_(result, scope != pierlead::ListScope::changes);
+  listener_(result, scope != cranemux::ListScope::changes);
   core_.resolved(std::move(list));
 }
 
@@ -137,7 +137,7 @@
     ++counters_.resolver_results;
     good_ = true;
     index_ = result.index;
-    pass_on(result, result.snapshot ? pierlead::ListScope::full : pierlead::ListScope::changes);
+    pass_on(result, result.snapshot ? cranemux::ListScope::full : cranemux::ListScope::changes);
   } catch (const std::exception& error) {  // damaged: the next watch brings the whole list
     ++counters_.resolver_bad;
     index_ = 0;
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -23,7 +23,7 @@
   net::awaitable<void> watch();
   net::awaitable<void> follow();  // one watch, until it breaks
   void line(std::string_view text);
-  void pass_on(const config::ResolverResult& result, pierlead::ListScope scope);
+  void pass_on(const config::ResolverResult& result, cranemux::ListScope scope);
 
   net::tcp::socket socket_;
   net::asio::steady_timer timer_;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the module through its interface, with hand-fed events.
-#include "pierlead/brain.h"
+#include "cranemux/brain.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 
-namespace pierlead {
+namespace cranemux {
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
@@ -546,4 +546,4 @@
 }
 
 }  // namespace
-}  // namespace pierlead
+}  // namespace cranemux
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -4,7 +4,7 @@
 
 #include <sstream>
 
-namespace pierlead::wire {
+namespace cranemux::wire {
 namespace {
 
 const std::string kConfigure =
@@ -50,7 +50,7 @@
 TEST(Wire, ARefusedSettingDies) {
   const auto out =
       served("turn at-time-ns=1\ninstance door-id=0\nconfigure entropy=1 balancers=1 index=4\ncommit\n");
-  EXPECT_NE(out.find("die words=pierlead: index"), std::string::npos);
+  EXPECT_NE(out.find("die words=cranemux: index"), std::string::npos);
 }
 
 TEST(Wire, Base64GoesThereAndBack) {
@@ -62,4 +62,4 @@
 }
 
 }  // namespace
-}  // namespace pierlead::wire
+}  // namespace cranemux::wire
