Speak GraphQL with costs by query, one path from document to answer, with exchange tests

The front prices a document from its fields, variables and list sizes and makes one RPC of it; bookings, however nested or batched, are book-job. Refused with a code and nothing sent: stated costs that disagree, prices that no store holds, unpriced roots, invalid documents. Units above most_units: the module's weights stay above zero up to 100 times it and its split grants in steps of it, so a price up to the burst is granted; but debts were cut at most_units (brain.cpp, spend, settle and take), which forgave settled differences. With settling on they now reach the burst. Refusals carry the time until the units should be there (back_in).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -188,6 +188,11 @@
     return std::max(0.0, std::log10(kWeightScale * s_.most_units / std::max(units, 1e-9)));
   }
 
+  // How far a store may go below nothing: settled differences may be as large as it is.
+  double debt_of(const PlanSettings& plan) const {
+    return -(s_.settles ? std::max(s_.most_units, plan.burst) : s_.most_units);
+  }
+
   void open_account(Account& a, const Request& request) {
     for (const auto& plan : s_.plans) {
       if (plan.name == request.plan) a.plan = &plan;
@@ -232,7 +237,7 @@
   void spend(Account& a, double units) {
     a.ceiling -= units;
     a.total += std::llround(units);
-    a.level = std::max(-s_.most_units, a.level - units);
+    a.level = std::max(debt_of(*a.plan), a.level - units);
     if (a.total > a.limit) note(a);  // it was not granted: the keeper must hear of it
   }
 
@@ -519,7 +524,7 @@
     ledger.filled = now_;
   }
   void take(Ledger& ledger, double units) {
-    ledger.level = std::clamp(ledger.level - units, -s_.most_units, ledger.plan->burst);
+    ledger.level = std::clamp(ledger.level - units, debt_of(*ledger.plan), ledger.plan->burst);
   }
 
   // The split among the gateways that hold requests, by weight, rounded up to whole requests; what that
@@ -782,7 +787,7 @@
     fill(a);
     a.total = std::max<std::int64_t>(0, a.total + std::llround(difference));
     a.limit += std::llround(difference);
-    a.level = std::max(-s_.most_units, a.level - difference);
+    a.level = std::max(debt_of(*a.plan), a.level - difference);
     note(a);
   }
 
@@ -806,11 +811,20 @@
     } else {
       // Waiting out the longest advice makes a retry miss its aim and spend a credit for nothing: only a
       // request that has missed it already is asked to stay away.
-      act(Refuse{job.request.id, s_.retry_after && now_ >= job.goal ? s_.max_retry_after : 0});
+      const auto stay_away = now_ >= job.goal ? s_.max_retry_after : 0;
+      act(Refuse{job.request.id, s_.retry_after ? stay_away : back_in(job)});
     }
     close(job);
   }
 
+  // For those who ask by other ways than the clients' own retries: when its units should be there again.
+  Nanos back_in(const Job& job) {
+    const auto& a = accounts_[job.account];
+    const bool short_of = a.plan && a.plan->rate > 0 && a.level < job.request.units;
+    const double seconds = short_of ? (job.request.units - a.level) / a.plan->rate : 0;
+    return std::max(kSubperiod, static_cast<Nanos>(std::min(seconds, 60.0) * kSecond));
+  }
+
   // The request has its answer: call off what is still out.
   void close(Job& job) {
     job.done = true;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -38,6 +38,13 @@
                      [&](const auto& c) { return c.name == name && c.repeat == cranemux::Repeat::unsafe; });
 }
 
+nanoseconds Core::patience_of(const std::string& klass) const {
+  for (const auto& c : settings_.classes) {
+    if (c.name == klass) return nanoseconds(c.give_up);
+  }
+  return {};
+}
+
 const cranemux::PlanSettings* Core::plan(const std::string& name) const {
   for (const auto& p : settings_.plans) {
     if (p.name == name) return &p;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -87,6 +87,7 @@
   void connect(CallAttempts& attempts, Peers& peers, Host& host);
   bool knows_class(const std::string& name) const;
   bool unsafe_class(const std::string& name) const;
+  nanoseconds patience_of(const std::string& klass) const;  // how long its clients wait, at most
   const cranemux::PlanSettings* plan(const std::string& name) const;
   const cranemux::Settings& settings() const { return settings_; }
 
--- /dev/null
+++ b/src/front/fields.h
@@ -0,0 +1,41 @@
+// Header fields that both fronts read alike: who calls, from which set, how long it will wait.
+#pragma once
+
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include "core/core.h"
+#include "http/http.h"
+
+namespace cranemux::front {
+
+template <typename Number>
+std::optional<Number> number(std::string_view text, int base = 10) {
+  Number value{};
+  const auto* end = text.data() + text.size();
+  std::from_chars_result got{};
+  if constexpr (std::is_integral_v<Number>) {
+    got = std::from_chars(text.data(), end, value, base);
+  } else {
+    got = std::from_chars(text.data(), end, value);
+  }
+  if (text.empty() || got.ec != std::errc{} || got.ptr != end) return std::nullopt;
+  return value;
+}
+
+// The value of `name` in `a=1; b=2`.
+std::string_view member(std::string_view text, std::string_view name, char separator);
+std::string url_decode(std::string_view text);
+
+// Fills in customer, plan, set, budget (0: not told) and repeat. Returns what is wrong, or nothing.
+std::string read_caller(const http::Message& message, const core::Core& core, core::RpcTerms& terms);
+std::optional<double> read_units(const http::Message& message);
+
+// Whole seconds, or with three digits behind the point; nothing for no advice.
+std::string retry_after_field(std::chrono::nanoseconds after);
+
+}  // namespace cranemux::front
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -20,7 +20,5 @@
 
 // `TEXT inflight=7, queue=2`: the fields that the settings name.
 cranemux::LoadReport parse_load(std::string_view text, const std::vector<std::string>& fields);
-// Whole seconds, or with three digits behind the point.
-std::string retry_after_field(std::chrono::nanoseconds after);
 
 }  // namespace cranemux::front
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -11,19 +11,37 @@
           std::chrono::nanoseconds(config.settings.drain_grace), config.sockets * 3 / 10};
 }
 
+config::Config with_graphql(config::Config config, const std::optional<front::GraphqlConfig>& graphql) {
+  if (!graphql) return config;
+  config.listen = graphql->listen;
+  config.known = {0, true, graphql->servers};
+  for (auto& server : config.known.entries) server.zone = config.settings.zone;
+  config.settings.settles = true;  // servers may tell what an operation truly cost
+  return config;
+}
+
+std::unique_ptr<front::Front> make_front(core::Core& core, const config::Config& config,
+                                         const std::optional<front::GraphqlConfig>& graphql,
+                                         metrics::Counters& counters) {
+  if (graphql) return std::make_unique<front::GraphqlFront>(core, *graphql, counters);
+  return std::make_unique<front::PlatformFront>(core, config.load_fields);
+}
+
 }  // namespace
 
-Gatekeeper::Gatekeeper(net::asio::io_context& io, const config::Config& config, metrics::Logger& logger)
+Gatekeeper::Gatekeeper(net::asio::io_context& io, const config::Config& config,
+                       const std::optional<front::GraphqlConfig>& graphql, metrics::Logger& logger)
     : io_(io),
       logger_(logger),
-      config_(config),
+      config_(with_graphql(config, graphql)),
+      own_servers_(graphql.has_value()),
       turn_timer_(io),
       drain_timer_(io),
-      core_(config.settings, logger, counters_),
-      attempts_(io, core_, limits_of(config), logger, counters_),
-      peers_(io, core_, config, logger, counters_),
-      platform_(core_, config.load_fields),
-      platform_server_(io, config.listen, config.sockets * 6 / 10, platform_, core_, logger, counters_),
+      core_(config_.settings, logger, counters_),
+      attempts_(io, core_, limits_of(config_), logger, counters_),
+      peers_(io, core_, config_, logger, counters_),
+      front_(make_front(core_, config_, graphql, counters_)),
+      channels_(io, config_.listen, config_.sockets * 6 / 10, *front_, core_, logger, counters_),
       resolver_(
           io, core_, config.discovery,
           [this](const config::ResolverResult& result, bool whole) { attempts_.resolved(result, whole); },
@@ -32,9 +50,9 @@
 }
 
 void Gatekeeper::start() {
-  resolver_.start(config_.known);
+  resolver_.start(config_.known, !own_servers_);
   core_.turn();
-  platform_server_.start();
+  channels_.start();
   logger_.log(metrics::Level::info, config_.name, " listens on ", config_.listen.host, ":",
               config_.listen.port);
 }
@@ -67,12 +85,12 @@
   const auto start = net::Clock::now();
   drain_timer_.expires_at(start + kStillOpen);
   co_await drain_timer_.async_wait(net::kResult);
-  while (net::Clock::now() < start + kLongestDrain && !(platform_server_.idle() && core_.in_flight() == 0)) {
-    platform_server_.drain();
+  while (net::Clock::now() < start + kLongestDrain && !(channels_.idle() && core_.in_flight() == 0)) {
+    channels_.drain();
     drain_timer_.expires_after(kLook);
     co_await drain_timer_.async_wait(net::kResult);
   }
-  platform_server_.stop();
+  channels_.stop();
   io_.stop();
 }
 
--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -1,5 +1,6 @@
 #include "json/json.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 
@@ -73,6 +74,11 @@
       object.emplace_back(std::move(name), read(depth + 1));
     } while (take(','));
     if (!take('}')) fail("'}' expected");
+    // Readers differ in which of two members counts: what is priced would not be what is run.
+    std::vector<std::string_view> names;
+    for (const auto& [name, value] : object) names.emplace_back(name);
+    std::sort(names.begin(), names.end());
+    if (std::adjacent_find(names.begin(), names.end()) != names.end()) fail("a name is there twice");
     return object;
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,10 +17,14 @@
   });
 }
 
-int serve(metrics::Level level) {
+int serve(metrics::Level level, const std::string& graphql_file) {
   metrics::Logger logger(std::cerr, level);
   net::asio::io_context io(1);
-  Gatekeeper gatekeeper(io, load_from_environment(), logger);
+  std::optional<front::GraphqlConfig> graphql;
+  if (!graphql_file.empty()) {
+    graphql = front::parse_graphql_config(config::read_file(graphql_file, "--graphql"));
+  }
+  Gatekeeper gatekeeper(io, load_from_environment(), graphql, logger);
   net::asio::signal_set stops(io, SIGTERM, SIGINT);
   stops.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper.drain();
@@ -47,6 +51,8 @@
   auto* serving = app.add_subcommand("serve", "Serve, as the ROUTER_ variables say");
   serving->add_option("--log", level, "Least level of log lines")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+  std::string graphql;
+  serving->add_option("--graphql", graphql, "Serve GraphQL as this file says, not the platform's protocol");
   auto* version = app.add_subcommand("version", "Print the version");
   auto* checking = app.add_subcommand("check-config", "Read and check the configuration, then end");
   CLI11_PARSE(app, argc, argv);
@@ -58,7 +64,7 @@
                 << config.settings.classes.size() << " classes, " << config.settings.plans.size()
                 << " plans, " << config.known.entries.size() << " nodes known\n";
     }
-    if (serving->parsed()) return serve(*metrics::level_named(level));
+    if (serving->parsed()) return serve(*metrics::level_named(level), graphql);
   } catch (const std::exception& error) {
     std::cerr << "cranemux: " << error.what() << '\n';
     return 1;
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -36,10 +36,10 @@
   to_steady_ = net::Clock::now().time_since_epoch() - std::chrono::system_clock::now().time_since_epoch();
 }
 
-void Resolver::start(const config::ResolverResult& known) {
+void Resolver::start(const config::ResolverResult& known, bool watches) {
   index_ = known.index;
   pass_on(known, cranemux::ListScope::stored);
-  net::spawn(socket_.get_executor(), logger_, "discovery", watch());
+  if (watches) net::spawn(socket_.get_executor(), logger_, "discovery", watch());
 }
 
 void Resolver::stop() {
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -16,7 +16,7 @@
 
   Resolver(net::asio::io_context& io, core::Core& core, const config::Address& discovery, Listener listener,
            metrics::Logger& logger, metrics::Counters& counters);
-  void start(const config::ResolverResult& known);
+  void start(const config::ResolverResult& known, bool watches);
   void stop();
 
  private:
--- /dev/null
+++ b/tests/player.cpp
@@ -0,0 +1,258 @@
+// Plays a recorded exchange against the program and compares what comes back. Usage: player PROGRAM FILE
+//
+// A line is a step. `open A` opens a channel; `accept W` and `accept D` take a connection at the worker or at
+// discovery. `A> text` sends and `A< text` expects bytes, with escapes as in C for carriage return, line end
+// and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A end`
+// expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
+// `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#undef NDEBUG
+#include <cassert>
+
+namespace {
+
+constexpr int kPatienceMs = 20'000;  // only a failure takes so long
+
+sockaddr_in loopback(int port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(static_cast<std::uint16_t>(port));
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return at;
+}
+
+struct Listener {
+  int fd = -1, port = 0;
+  Listener() {
+    fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto at = loopback(0);
+    assert(::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && ::listen(fd, 64) == 0);
+    socklen_t size = sizeof at;
+    assert(::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+    port = ntohs(at.sin_port);
+  }
+  int shut() {
+    ::close(fd);
+    return port;
+  }
+};
+
+bool matches(std::string_view pattern, std::string_view text) {
+  const auto star = pattern.find('*');
+  if (star == std::string_view::npos) return pattern == text;
+  if (text.substr(0, star) != pattern.substr(0, star)) return false;
+  const auto rest = pattern.substr(star + 1);
+  for (auto at = star; at <= text.size(); ++at) {
+    if (matches(rest, text.substr(at))) return true;
+  }
+  return false;
+}
+
+std::string unescape(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '\\' || i + 1 == text.size()) {
+      out += text[i];
+      continue;
+    }
+    const char c = text[++i];
+    out += c == 'r' ? '\r' : c == 'n' ? '\n' : c;
+  }
+  return out;
+}
+
+class Player {
+ public:
+  explicit Player(const char* program) : program_(program) {}
+  ~Player() {
+    if (child_ > 0) ::kill(child_, SIGKILL);
+  }
+
+  void play(const char* file) {
+    std::ifstream in(file);
+    assert(in);
+    std::string line;
+    while (std::getline(in, line)) {
+      ++at_;
+      const auto pair = line.substr(0, line.find(' '));
+      const bool text = pair.size() == 2 && (pair[1] == '>' || pair[1] == '<');
+      if (text && pair == pending_) {
+        text_ += unescape(line.substr(3));
+        continue;
+      }
+      flush();
+      if (text) {
+        pending_ = pair;
+        text_ = unescape(line.substr(3));
+      } else if (!line.empty() && line[0] != '#') {
+        step(line);
+      }
+    }
+    flush();
+    std::cout << file << ": played\n";
+  }
+
+ private:
+  [[noreturn]] void fail(const std::string& what) {
+    std::cout << "line " << at_ << ": " << what << std::endl;
+    if (child_ > 0) ::kill(child_, SIGKILL);
+    std::exit(1);
+  }
+
+  void flush() {
+    if (pending_.empty()) return;
+    const auto who = pending_.substr(0, 1);
+    if (pending_[1] == '>') {
+      std::string_view left = text_;
+      while (!left.empty()) {
+        const auto sent = ::send(fds_.at(who), left.data(), left.size(), MSG_NOSIGNAL);
+        if (sent <= 0) fail(who + " cannot send");
+        left.remove_prefix(static_cast<std::size_t>(sent));
+      }
+    } else {
+      auto& got = got_[who];
+      while (!matches(text_, got)) {
+        if (!read(who, kPatienceMs)) fail(who + " expected\n" + text_ + "\nand got\n" + got);
+      }
+      got.clear();
+    }
+    pending_.clear();
+  }
+
+  bool ready(int fd, int ms) {
+    pollfd p{fd, POLLIN, 0};
+    return ::poll(&p, 1, ms) > 0;
+  }
+
+  bool read(const std::string& who, int ms) {
+    char bytes[4096];
+    if (!ready(fds_.at(who), ms)) return false;
+    const auto count = ::recv(fds_.at(who), bytes, sizeof bytes, 0);
+    if (count > 0) got_[who].append(bytes, static_cast<std::size_t>(count));
+    return count > 0;
+  }
+
+  int connect() {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto at = loopback(port_);
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return fd;
+    ::close(fd);
+    return -1;
+  }
+
+  void step(const std::string& line) {
+    std::istringstream words(line);
+    std::string a, b;
+    int ms = 0;
+    words >> a >> b >> ms;
+    if (a == "refuse") {
+      worker_port_ = worker_.shut();
+    } else if (a == "serve") {
+      serve(b);
+    } else if (a == "open") {
+      fds_[b] = connect();
+      if (fds_[b] < 0) fail("cannot connect");
+    } else if (a == "accept") {
+      const int listener = b == "D" ? discovery_.fd : worker_.fd;
+      if (!ready(listener, kPatienceMs)) fail("nobody connects");
+      fds_[b] = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    } else if (a == "term") {
+      ::kill(child_, SIGTERM);
+    } else if (a == "exit") {
+      int status = 0;
+      ::waitpid(child_, &status, 0);
+      child_ = 0;
+      if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) fail("the program did not end cleanly");
+    } else if (b == "close") {
+      ::close(fds_.at(a));
+    } else if (b == "end") {
+      while (read(a, kPatienceMs)) {
+      }
+      if (!got_[a].empty()) fail("end expected, got " + got_[a]);
+    } else if (b == "quiet") {
+      if (ready(fds_.at(a), ms) || ready(worker_.fd, 0)) fail("nothing was to come");
+    } else {
+      fail("unknown step " + line);
+    }
+  }
+
+  void serve(const std::string& front) {
+    const auto folder = std::string("exchange-") + std::to_string(::getpid());
+    const auto here = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+    Listener free;
+    port_ = free.shut();
+    if (worker_port_ == 0) worker_port_ = worker_.port;
+    const auto entry = [&](const char* name, int port) {
+      return std::string("{\"name\":\"") + name + "\",\"address\":" + here(port) +
+             ",\"zone\":\"z\",\"status\":\"active\",\"since_ms\":0}";
+    };
+    std::ofstream(folder + ".json")
+        << "{\"name\":\"n0\",\"listen\":" << here(port_) << ",\"discovery\":" << here(discovery_.port)
+        << ",\"seed\":\"5\",\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":["
+        << entry("one", worker_port_) << "]},\"settings\":" << kSettings << "}";
+    std::ofstream(folder + "-graphql.json") << "{\"listen\":" << here(port_) << ",\"servers\":["
+                                            << here(worker_port_) << "],\"fields\":" << kFields << "}";
+    child_ = ::fork();
+    if (child_ == 0) {
+      ::setenv("ROUTER_CONFIG", (folder + ".json").c_str(), 1);
+      for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) ::unsetenv(name);
+      const auto file = folder + "-graphql.json";
+      if (front == "graphql") {
+        ::execl(program_, program_, "serve", "--graphql", file.c_str(), nullptr);
+      } else {
+        ::execl(program_, program_, "serve", nullptr);
+      }
+      std::_Exit(127);
+    }
+    for (int tries = 0; tries < kPatienceMs / 20; ++tries) {
+      const int fd = connect();
+      if (fd >= 0) {
+        ::close(fd);
+        return;
+      }
+      ::usleep(20'000);
+    }
+    fail("the program does not listen");
+  }
+
+  static constexpr const char* kSettings = R"({"balancers":1,"index":0,"zone":"z","quantum-ns":2000000,
+    "caps":{"cancel":true,"conn-idle-ns":30000000000,"connect-timeout-ns":250000000.0,"most-tries":4},
+    "invariants":{"drain-grace-ns":1000000000,"cold-from":1},"stats":{"fields":["outstanding"],"source":"piggyback"},
+    "specifics":{"most-units":2},
+    "classes":[{"name":"job-status","goal-time-ns":4000000000,"give-up-ns":9000000000,"points":3.0,"semantics":"free"},
+      {"name":"book-job","goal-time-ns":4000000000,"give-up-ns":9000000000,"points":5.0,"semantics":"single_shot"}],
+    "contracts":[{"name":"corner","per-second":0.01,"peak-units":4.0,"pays":0.72},
+      {"name":"business","per-second":5,"peak-units":40.0,"pays":1.2}]})";
+  static constexpr const char* kFields = R"({"status":{"cost":1},"node":{"cost":1},"jobs":{"cost":1,
+    "size_argument":"first"},"statuses":{"cost":1,"size_argument":"ids"},"book":{"cost":2,"booking":true}})";
+
+  const char* program_;
+  Listener worker_, discovery_;
+  int worker_port_ = 0, port_ = 0, at_ = 0;
+  pid_t child_ = 0;
+  std::map<std::string, int> fds_;
+  std::map<std::string, std::string> got_;
+  std::string pending_, text_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  assert(argc == 3);
+  Player(argv[1]).play(argv[2]);
+  return 0;
+}
