--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -1,5 +1,8 @@
 #include "gatekeeper.h"
 
+#include <algorithm>
+#include <sstream>
+
 namespace cranemux {
 namespace {
 
@@ -29,30 +32,55 @@
 
 }  // namespace
 
-Gatekeeper::Gatekeeper(net::asio::io_context& io, const config::Config& config,
-                       const std::optional<front::GraphqlConfig>& graphql, metrics::Logger& logger)
+Gatekeeper::Gatekeeper(net::asio::io_context& io, const config::Config& config, const Options& options,
+                       metrics::Logger& logger)
     : io_(io),
       logger_(logger),
-      config_(with_graphql(config, graphql)),
-      own_servers_(graphql.has_value()),
+      config_(with_graphql(config, options.graphql)),
+      own_servers_(options.graphql.has_value()),
       turn_timer_(io),
       drain_timer_(io),
       core_(config_.settings, logger, counters_),
       attempts_(io, core_, limits_of(config_), logger, counters_),
       peers_(io, core_, config_, logger, counters_),
-      front_(make_front(core_, config_, graphql, counters_)),
+      front_(make_front(core_, config_, options.graphql, counters_)),
       channels_(io, config_.listen, config_.sockets * 6 / 10, *front_, core_, logger, counters_),
       resolver_(
           io, core_, config.discovery,
           [this](const config::ResolverResult& result, bool whole) { attempts_.resolved(result, whole); },
           logger, counters_) {
   core_.connect(attempts_, peers_, *this);
+  if (!options.console.empty()) {
+    console_ = std::make_unique<console::Console>(
+        io, options.console, [this](const std::string& line) { return command(line); }, logger);
+  }
+  const auto interval =
+      std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(options.export_every));
+  if (!options.graphite.empty()) {
+    const auto to = net::endpoint<net::tcp>(config::parse_address(options.graphite, "--graphite"));
+    exporters_.push_back(std::make_unique<metrics::Exporter>(
+        io, to, options.export_every, false,
+        [this] {
+          const auto now = std::chrono::system_clock::now().time_since_epoch();
+          return metrics::graphite_lines(counters_, config_.name,
+                                         std::chrono::floor<std::chrono::seconds>(now));
+        },
+        logger, counters_));
+  }
+  if (!options.collectd.empty()) {
+    exporters_.push_back(std::make_unique<metrics::Exporter>(
+        io, net::asio::local::stream_protocol::endpoint(options.collectd), options.export_every, true,
+        [this, interval] { return metrics::collectd_lines(counters_, config_.name, interval); }, logger,
+        counters_));
+  }
 }
 
 void Gatekeeper::start() {
   resolver_.start(config_.known, !own_servers_);
   core_.turn();
   channels_.start();
+  if (console_) console_->start();
+  for (auto& exporter : exporters_) exporter->start();
   logger_.log(metrics::Level::info, config_.name, " listens on ", config_.listen.host, ":",
               config_.listen.port);
 }
@@ -76,6 +104,40 @@
   });
 }
 
+std::string Gatekeeper::command(const std::string& line) {
+  std::istringstream words(line);
+  std::string name, argument;
+  words >> name >> argument;
+  std::ostringstream out;
+  if (name == "counters") {
+    out << counters_;
+  } else if (name == "nodes") {
+    for (const auto& [node, n] : attempts_.nodes()) {
+      out << node << ' ' << n.state << " busy " << n.busy << " idle " << n.idle << " sent " << n.sent << '\n';
+    }
+  } else if (name == "quotas") {
+    for (const auto& [customer, use] : core_.use()) {
+      const auto* plan = core_.plan(use.plan);
+      out << customer << ' ' << use.plan << " units " << use.units << " rpcs " << use.rpcs << " unavailable "
+          << use.unavailable << " rate " << (plan ? plan->rate : 0) << " burst " << (plan ? plan->burst : 0)
+          << '\n';
+    }
+  } else if (name == "log") {
+    const auto level = metrics::level_named(argument);
+    if (level) logger_.set_level(*level);
+    if (!level && !argument.empty()) return "unknown level " + argument + '\n';
+    out << "log level " << metrics::kLevelNames[static_cast<std::size_t>(logger_.level())] << '\n';
+  } else if (name == "drain") {
+    drain();
+    out << "draining: answers what it has taken, then ends\n";
+  } else if (name == "help") {
+    out << "counters | nodes | quotas | log [debug|info|warning|error] | drain | help | quit\n";
+  } else {
+    return "unknown command " + name + ": try help\n";
+  }
+  return out.str();
+}
+
 void Gatekeeper::drain() {
   if (std::exchange(draining_, true)) return;
   net::spawn(io_, logger_, "drain", wind_down());
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -3,21 +3,32 @@
 
 #include "attempt/attempts.h"
 #include "config/config.h"
+#include "console/console.h"
 #include "core/core.h"
 #include "front/graphql/graphql.h"
 #include "front/platform/platform.h"
+#include "metrics/export.h"
 #include "peers/peers.h"
 #include "resolver/resolver.h"
 
 namespace cranemux {
 
+// What an operator may switch on; all of it is off on the platform.
+struct Options {
+  std::optional<front::GraphqlConfig> graphql;  // served instead of the platform's protocol
+  std::string console;                          // a Unix socket's path
+  std::string graphite;                         // address:port
+  std::string collectd;                         // a Unix socket's path
+  std::chrono::milliseconds export_every{10'000};
+};
+
 class Gatekeeper : private core::Host {
  public:
-  // With `graphql` that front is served instead of the platform's, from the servers that its file lists.
-  Gatekeeper(net::asio::io_context& io, const config::Config& config,
-             const std::optional<front::GraphqlConfig>& graphql, metrics::Logger& logger);
+  Gatekeeper(net::asio::io_context& io, const config::Config& config, const Options& options,
+             metrics::Logger& logger);
   void start();
-  void drain();  // as at SIGTERM: answers what it has taken, then ends
+  std::string command(const std::string& line);  // of the console
+  void drain();                                  // as at SIGTERM: answers what it has taken, then ends
   const metrics::Counters& counters() const { return counters_; }
 
  private:
@@ -38,6 +49,8 @@
   std::unique_ptr<front::Front> front_;
   front::ChannelServer channels_;
   resolver::Resolver resolver_;
+  std::unique_ptr<console::Console> console_;
+  std::vector<std::unique_ptr<metrics::Exporter>> exporters_;
   bool draining_ = false;
 };
 
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -4,11 +4,13 @@
 // discovery. `A> text` sends and `A< text` expects bytes, with escapes as in C for carriage return, line end
 // and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A end`
 // expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
+// with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
 // `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -51,6 +53,13 @@
   }
 };
 
+sockaddr_un local(const std::string& path) {
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  path.copy(at.sun_path, sizeof at.sun_path - 1);
+  return at;
+}
+
 bool matches(std::string_view pattern, std::string_view text) {
   const auto star = pattern.find('*');
   if (star == std::string_view::npos) return pattern == text;
@@ -154,6 +163,12 @@
     return -1;
   }
 
+  int connect_console() {
+    const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto at = local(console_);
+    return ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 ? fd : -1;
+  }
+
   void step(const std::string& line) {
     std::istringstream words(line);
     std::string a, b;
@@ -162,12 +177,15 @@
     if (a == "refuse") {
       worker_port_ = worker_.shut();
     } else if (a == "serve") {
-      serve(b);
+      serve(b, line.ends_with(" ops"));
     } else if (a == "open") {
-      fds_[b] = connect();
+      fds_[b] = b == "C" ? connect_console() : connect();
       if (fds_[b] < 0) fail("cannot connect");
     } else if (a == "accept") {
-      const int listener = b == "D" ? discovery_.fd : worker_.fd;
+      const int listener = b == "D"   ? discovery_.fd
+                           : b == "G" ? graphite_.fd
+                           : b == "K" ? collectd_
+                                      : worker_.fd;
       if (!ready(listener, kPatienceMs)) fail("nobody connects");
       fds_[b] = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
     } else if (a == "term") {
@@ -190,8 +208,17 @@
     }
   }
 
-  void serve(const std::string& front) {
+  void serve(const std::string& front, bool ops) {
     const auto folder = std::string("exchange-") + std::to_string(::getpid());
+    console_ = folder + ".console";
+    const auto collectd = folder + ".collectd", graphite = "127.0.0.1:" + std::to_string(graphite_.port);
+    if (ops) {
+      collectd_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const auto at = local(collectd);
+      ::unlink(collectd.c_str());
+      assert(::bind(collectd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
+             ::listen(collectd_, 8) == 0);
+    }
     const auto here = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
     Listener free;
     port_ = free.shut();
@@ -213,6 +240,9 @@
       const auto file = folder + "-graphql.json";
       if (front == "graphql") {
         ::execl(program_, program_, "serve", "--graphql", file.c_str(), nullptr);
+      } else if (ops) {
+        ::execl(program_, program_, "serve", "--console", console_.c_str(), "--graphite", graphite.c_str(),
+                "--collectd", collectd.c_str(), "--export-every", "0.3", nullptr);
       } else {
         ::execl(program_, program_, "serve", nullptr);
       }
@@ -241,12 +271,12 @@
     "size_argument":"first"},"statuses":{"cost":1,"size_argument":"ids"},"book":{"cost":2,"booking":true}})";
 
   const char* program_;
-  Listener worker_, discovery_;
-  int worker_port_ = 0, port_ = 0, at_ = 0;
+  Listener worker_, discovery_, graphite_;
+  int worker_port_ = 0, port_ = 0, at_ = 0, collectd_ = -1;
   pid_t child_ = 0;
   std::map<std::string, int> fds_;
   std::map<std::string, std::string> got_;
-  std::string pending_, text_;
+  std::string pending_, text_, console_;
 };
 
 }  // namespace
