Refuse sooner once a keeper has no credits, and count a marked repeat's age

At fault in brain.cpp: hold_until (half the aim, though the keeper has answered that D is gone, so the client's retry could not come in time), kQueueOfAim 0.4, and age_of, which gave a marked repeat the whole aim once more.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,6 +27,8 @@
 constexpr Nanos kCreditLife = 2 * kSubperiod;  // credits older than this are stale (after a stall)
 constexpr Nanos kAnswerMargin = 8 * kMs;       // the final answer leaves this long before the deadline
 constexpr double kHoldOfAim = 0.5;             // hold bound without a credit, as a share of the aim
+constexpr double kHoldTold = 0.2;              // and where the keeper has said that it has none
+constexpr double kRepeatAge = 0.3;             // of the aim: age of a marked repeat whose budget tells none
 constexpr Nanos kHoldBound = 500 * kMs;        // and never longer than two subperiods
 constexpr double kWeightScale = 100;           // T*V/K is this many times the largest request
 constexpr double kWeightSteps = 16;            // weights travel in steps of 1/16
@@ -47,7 +49,7 @@
 constexpr double kWindowMin = 0.25, kWindowMax = 32;  // parts of one count towards the sum over servers
 constexpr double kIdle = 0.3;                         // of the windows in use: under it servers take more
 constexpr double kWindowStep = 0.1;                   // opened by this for each good answer, over the window
-constexpr double kQueueOfAim = 0.4;    // wait for a server with a credit, as a share of the aim
+constexpr double kQueueOfAim = 0.2;    // wait for a server with a credit, as a share of the aim
 constexpr int kStrikes = 3;            // failures in a row that eject a server
 constexpr Nanos kEject = 2 * kSecond;  // first ejection; doubles up to kEjectMax
 constexpr Nanos kEjectMax = 4 * kSecond;
@@ -291,7 +293,16 @@
                                         [](const auto& a, const auto& b) { return a.second < b.second; });
     const auto apart = std::abs(request.budget / kMs - first->first);
     const bool later = first->second >= kBudgetsSeen && apart > kTick / kMs;
-    return later ? std::max<Nanos>(0, klass.give_up - request.budget) : 0;
+    if (later) return std::max<Nanos>(0, klass.give_up - request.budget);
+    // A repeat with a first try's budget is at least one hold and one wait old.
+    return request.repeat ? static_cast<Nanos>(kRepeatAge * static_cast<double>(klass.aim)) : 0;
+  }
+
+  // Once its keeper has answered, a request hopes for the next shares only so long: refused sooner, its
+  // client comes again within the aim.
+  Nanos hold_of(const Job& job, const Account& a) const {
+    const auto told = static_cast<Nanos>(kHoldTold * static_cast<double>(job.klass->aim));
+    return a.asked > a.answered ? job.hold_until : std::min(job.hold_until, job.arrived + told);
   }
 
   // True if the held job has left the queue.
@@ -302,7 +313,8 @@
     const bool room = a.plan && (a.plan->ceiling_rate <= 0 || a.ceiling >= units);
     const bool credit = room && has_credit(a, units);
     // Servers are only looked through for what could go: at full size that is most of the CPU.
-    const int server = credit || (room && now_ >= job.hold_until) ? choose(job) : -1;
+    const auto hold = hold_of(job, a);
+    const int server = credit || (room && now_ >= hold) ? choose(job) : -1;
     pressed_ = pressed_ || (credit && server < 0);
     if (server >= 0 && (credit || may_borrow(a, units))) {
       spend(a, units);
@@ -311,8 +323,7 @@
       return true;
     }
     const auto wait = static_cast<Nanos>(kQueueOfAim * static_cast<double>(job.klass->aim));
-    const auto last =
-        credit || (a.plan && a.plan->rate <= 0) ? std::min(job.goal, job.arrived + wait) : job.hold_until;
+    const auto last = credit || (a.plan && a.plan->rate <= 0) ? std::min(job.goal, job.arrived + wait) : hold;
     if (now_ < last) return false;
     leave_queue(job, a);
     // Where a plan earns more beyond its quota than it costs, idle servers take what would be refused.
