Close channels that linger when room is short, and say what remains

Seen in review: make_room shut the channel that was idle longest for sending only; a client that never ended its side kept the descriptor, and the same channel was picked again, so accepting stopped for good. At fault: ChannelServer::make_room and HttpChannel::close_between_requests. An export's time limit also no longer outlives its socket.

--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptPause{20};  // where descriptors have run out
+constexpr std::chrono::seconds kLinger{2};             // for a client to end its side, or finish its request
 
 }  // namespace
 
@@ -130,9 +131,18 @@
 void HttpChannel::close_between_requests() {
   if (!idle() || last_ || !in_.empty()) return;
   last_ = true;
+  idle_since_ = net::Clock::now();
   shut();
 }
 
+void HttpChannel::evict() {
+  if (!idle()) return;
+  if (!last_ && in_.empty()) return close_between_requests();
+  broken_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
 ChannelServer::ChannelServer(net::asio::io_context& io, const config::Address& listen,
                              std::size_t most_channels, Front& front, core::Core& core,
                              metrics::Logger& logger, metrics::Counters& counters)
@@ -153,12 +163,20 @@
 
 void ChannelServer::start() { net::spawn(io_, logger_, "accept", accept()); }
 
+// The channel that has been idle longest goes; so do those whose client does not end them, or never finishes
+// its request.
 void ChannelServer::make_room() {
   HttpChannel* oldest = nullptr;
-  for (auto* channel : channels_) {
-    if (channel->idle() && (!oldest || channel->idle_since() < oldest->idle_since())) oldest = channel;
+  const auto slow = net::Clock::now() - kLinger;
+  for (auto* channel : std::vector<HttpChannel*>(channels_.begin(), channels_.end())) {
+    if (!channel->idle()) continue;
+    if (!channel->settled()) {
+      if (channel->idle_since() < slow) channel->evict();
+    } else if (!oldest || channel->idle_since() < oldest->idle_since()) {
+      oldest = channel;
+    }
   }
-  if (oldest) oldest->close_between_requests();
+  if (oldest) oldest->evict();
 }
 
 net::awaitable<void> ChannelServer::accept() {
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -31,7 +31,9 @@
   net::awaitable<void> run();
   void answer(core::RpcId rpc, core::FinalAnswer&& answer) override;
   void close_between_requests();
+  void evict();  // closes it, where nothing is owed on it
   bool idle() const { return !waits_ && !writing_; }
+  bool settled() const { return !last_ && in_.empty(); }  // between two requests
   net::Clock::time_point idle_since() const { return idle_since_; }
 
  private:
--- a/src/metrics/export.cpp
+++ b/src/metrics/export.cpp
@@ -1,6 +1,7 @@
 #include "metrics/export.h"
 
 #include <algorithm>
+#include <memory>
 
 namespace cranemux::metrics {
 namespace {
@@ -64,11 +65,12 @@
 }
 
 net::awaitable<bool> Exporter::send(std::string text) {
-  net::asio::generic::stream_protocol::socket socket(io_);
+  const auto held = std::make_shared<net::asio::generic::stream_protocol::socket>(io_);
+  auto& socket = *held;
   limit_.expires_after(kLongestSend);
-  limit_.async_wait([&socket](const boost::system::error_code& error) {
+  limit_.async_wait([weak = std::weak_ptr(held)](const boost::system::error_code& error) {
     boost::system::error_code ignored;
-    if (!error) socket.close(ignored);
+    if (const auto open = weak.lock(); open && !error) open->close(ignored);
   });
   const auto [refused] = co_await socket.async_connect(to_, net::kResult);
   bool good = !refused;
@@ -85,7 +87,7 @@
     good = !error;
     if (good) answers -= std::count(bytes, bytes + count, '\n');
   }
-  limit_.expires_after(std::chrono::hours(24));  // its wait ends, before the socket does
+  limit_.cancel();
   co_return good;
 }
 
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -5,10 +5,12 @@
 // and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A end`
 // expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
 // with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
+// `crowd 20` opens so many idle channels, `few 40` before `serve` limits the program's descriptors, and
 // `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/un.h>
 #include <sys/wait.h>
@@ -176,6 +178,12 @@
     words >> a >> b >> ms;
     if (a == "refuse") {
       worker_port_ = worker_.shut();
+    } else if (a == "few") {
+      descriptors_ = std::stoul(b);
+    } else if (a == "crowd") {
+      for (int i = std::stoi(b); i > 0; --i) {
+        if (connect() < 0) fail("cannot connect");
+      }
     } else if (a == "serve") {
       serve(b, line.ends_with(" ops"));
     } else if (a == "open") {
@@ -235,6 +243,8 @@
                                             << here(worker_port_) << "],\"fields\":" << kFields << "}";
     child_ = ::fork();
     if (child_ == 0) {
+      const rlimit few{descriptors_, descriptors_};
+      if (descriptors_ > 0) ::setrlimit(RLIMIT_NOFILE, &few);
       ::setenv("ROUTER_CONFIG", (folder + ".json").c_str(), 1);
       for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) ::unsetenv(name);
       const auto file = folder + "-graphql.json";
@@ -273,6 +283,7 @@
   const char* program_;
   Listener worker_, discovery_, graphite_;
   int worker_port_ = 0, port_ = 0, at_ = 0, collectd_ = -1;
+  rlim_t descriptors_ = 0;
   pid_t child_ = 0;
   std::map<std::string, int> fds_;
   std::map<std::string, std::string> got_;
