Reload the configuration at SIGHUP instead of ending, and move the watch at once

Ruled out: a crash of ours (no core, no log line).

Now the whole file is read and checked first; a faulty one is logged and changes nothing. A good one moves the watch to its discovery at once and asks there for the whole list; quotas, RPCs and channels stay. Keys that only a restart can change are named in the log. The environment's ROUTER_DISCOVERY is older than a reloaded file and no longer wins there. The player removes its files, which had been left at the root.

--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -44,6 +44,7 @@
   RepeatScope scope = RepeatScope::all;  // keyed: who drops a repeat
   Nanos window = 0;                      // keyed: for how long after the first send
   bool stream = false;
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct PlanSettings {
@@ -57,6 +58,7 @@
   double price = 1;
   double over_worth = 0;  // share of worth earned beyond the quota
   double over_cost = 0;   // share of worth lost beyond the quota
+  bool operator==(const PlanSettings&) const = default;
 };
 
 struct Settings {
@@ -86,6 +88,7 @@
   Nanos warm_up = 0;         // and all of it after this long
   double fall_multiple = 0;  // sent this many times what it can do ...
   Nanos fall_window = 0;     // ... for this long, a cold server falls over; 0: it does not
+  bool operator==(const Settings&) const = default;
 };
 
 struct LoadReport {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -179,16 +179,46 @@
   return config;
 }
 
-Config load(const Environment& environment) {
+namespace {
+
+Config load_file(const Environment& environment) {
   const auto path = environment("ROUTER_CONFIG");
   if (!path) throw Error("ROUTER_CONFIG: not set");
   auto config = parse(read_file(*path, "ROUTER_CONFIG"));
   if (const auto name = environment("ROUTER_NAME")) config.name = *name;
   if (const auto at = environment("ROUTER_LISTEN")) config.listen = parse_address(*at, "ROUTER_LISTEN");
+  return config;
+}
+
+}  // namespace
+
+Config load(const Environment& environment) {
+  auto config = load_file(environment);
   if (const auto at = environment("ROUTER_DISCOVERY")) {
     config.discovery = parse_address(*at, "ROUTER_DISCOVERY");
   }
   return config;
 }
 
+Config reload(const Environment& environment) { return load_file(environment); }
+
+std::vector<std::string> fixed_until_restart(const Config& running, const Config& file) {
+  std::vector<std::string> keys;
+  const auto check = [&](bool same, const char* key) {
+    if (!same) keys.emplace_back(key);
+  };
+  auto settings = file.settings;
+  settings.seed = running.settings.seed;
+  check(running.name == file.name, "name");
+  check(running.listen == file.listen, "listen");
+  check(running.peer_listen == file.peer_listen, "peer_listen");
+  check(running.peers == file.peers, "peers");
+  check(running.sockets == file.sockets, "limits.sockets");
+  check(running.settings == settings && running.load_fields == file.load_fields &&
+            running.connect_timeout == file.connect_timeout &&
+            running.connection_idle == file.connection_idle,
+        "settings");
+  return keys;
+}
+
 }  // namespace cranemux::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -21,6 +21,7 @@
 struct Address {
   std::string host;
   std::uint16_t port = 0;
+  bool operator==(const Address&) const = default;
 };
 
 // One worker in discovery's form.
@@ -56,6 +57,10 @@
 using Environment = std::function<std::optional<std::string>(const char*)>;
 // ROUTER_CONFIG names the file; the other variables win over what it holds.
 Config load(const Environment& environment);
+// The same at a reload: there the file is newer than the environment, so its `discovery` counts.
+Config reload(const Environment& environment);
+// The keys that differ and that only a restart can change.
+std::vector<std::string> fixed_until_restart(const Config& running, const Config& file);
 Config parse(std::string_view text);
 std::string read_file(const std::string& path, const std::string& key);
 
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -85,6 +85,29 @@
               config_.listen.port);
 }
 
+// Quotas, RPCs and channels stay; the watch moves to the file's `discovery`.
+void Gatekeeper::reload(const std::function<config::Config()>& read) {
+  try {
+    const auto file = read();
+    ++counters_.reloads;
+    if (own_servers_) {
+      logger_.log(metrics::Level::info, "reload: nothing to change, the GraphQL file lists the servers");
+      return;
+    }
+    for (const auto& key : config::fixed_until_restart(config_, file)) {
+      logger_.log(metrics::Level::warning, "reload: ", key, " differs, which needs a restart");
+    }
+    if (file.discovery == config_.discovery) return;
+    config_.discovery = file.discovery;
+    logger_.log(metrics::Level::info, "reload: discovery is at ", file.discovery.host, ":",
+                file.discovery.port);
+    resolver_.move(file.discovery);
+  } catch (const std::exception& error) {
+    ++counters_.reloads_rejected;
+    logger_.log(metrics::Level::error, "reload: the configuration stays as it was: ", error.what());
+  }
+}
+
 void Gatekeeper::turn_soon() {
   net::asio::post(io_, [this] { core_.turn(); });
 }
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -27,6 +27,8 @@
   Gatekeeper(net::asio::io_context& io, const config::Config& config, const Options& options,
              metrics::Logger& logger);
   void start();
+  // As at SIGHUP. `read` brings the file checked, or throws; then all stays as it was.
+  void reload(const std::function<config::Config()>& read);
   std::string command(const std::string& line);  // of the console
   void drain();                                  // as at SIGTERM: answers what it has taken, then ends
   const metrics::Counters& counters() const { return counters_; }
@@ -39,7 +41,7 @@
   net::asio::io_context& io_;
   metrics::Logger& logger_;
   metrics::Counters counters_;
-  const config::Config config_;
+  config::Config config_;
   const bool own_servers_;  // listed by the GraphQL file, not by discovery
   net::asio::steady_timer turn_timer_, drain_timer_;
   net::Clock::time_point turn_timer_at_ = net::Clock::time_point::max();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,28 +9,27 @@
 
 using namespace cranemux;
 
-config::Config load_from_environment() {
-  return config::load([](const char* name) -> std::optional<std::string> {
-    const char* value = std::getenv(name);
-    return value ? std::optional<std::string>(value) : std::nullopt;
-  });
+std::optional<std::string> environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? std::optional<std::string>(value) : std::nullopt;
 }
 
 int serve(metrics::Level level, const Options& options) {
   metrics::Logger logger(std::cerr, level);
   net::asio::io_context io(1);
-  Gatekeeper gatekeeper(io, load_from_environment(), options, logger);
+  Gatekeeper gatekeeper(io, config::load(environment), options, logger);
   net::asio::signal_set stops(io, SIGTERM, SIGINT);
   stops.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper.drain();
   });
-  net::asio::signal_set asks(io, SIGUSR1);
-  std::function<void(const boost::system::error_code&, int)> print = [&](const auto& error, int) {
+  net::asio::signal_set asks(io, SIGUSR1, SIGHUP);
+  std::function<void(const boost::system::error_code&, int)> asked = [&](const auto& error, int signal) {
     if (error) return;
-    std::cerr << gatekeeper.counters() << std::flush;
-    asks.async_wait(print);
+    if (signal == SIGUSR1) std::cerr << gatekeeper.counters() << std::flush;
+    if (signal == SIGHUP) gatekeeper.reload([] { return config::reload(environment); });
+    asks.async_wait(asked);
   };
-  asks.async_wait(print);
+  asks.async_wait(asked);
   gatekeeper.start();
   io.run();
   std::cerr << gatekeeper.counters() << std::flush;
@@ -66,7 +65,7 @@
     if (version->parsed()) std::cout << "cranemux " << CRANEMUX_VERSION << '\n';
     if (checking->parsed()) {
       if (!graphql.empty()) front::parse_graphql_config(config::read_file(graphql, "--graphql"));
-      const auto config = load_from_environment();
+      const auto config = config::load(environment);
       std::cout << "good: " << config.name << " of " << config.settings.gateways << ", "
                 << config.settings.classes.size() << " classes, " << config.settings.plans.size()
                 << " plans, " << config.known.entries.size() << " nodes known\n";
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -15,6 +15,7 @@
   Count attempts_connect_failed = 0, attempts_reset = 0, attempts_cancelled = 0, attempts_moot = 0;
   Count worker_connections = 0;
   Count peer_sent = 0, peer_received = 0, peer_dropped = 0;
+  Count reloads = 0, reloads_rejected = 0;
   Count resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
   Count graphql_taken = 0, graphql_rejected = 0, graphql_cost_mismatch = 0, graphql_over_burst = 0;
   Count exports_sent = 0, exports_dropped = 0;
@@ -43,6 +44,8 @@
     visit("peer_sent", peer_sent);
     visit("peer_received", peer_received);
     visit("peer_dropped", peer_dropped);
+    visit("reloads", reloads);
+    visit("reloads_rejected", reloads_rejected);
     visit("resolver_results", resolver_results);
     visit("resolver_breaks", resolver_breaks);
     visit("resolver_bad", resolver_bad);
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -1,6 +1,7 @@
 #include "resolver/resolver.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "http/http.h"
 
@@ -42,6 +43,16 @@
   if (watches) net::spawn(socket_.get_executor(), logger_, "discovery", watch());
 }
 
+// Who is listed stays in use until the new address tells more. Versions there may be numbered differently, so
+// the whole list is asked for.
+void Resolver::move(const config::Address& discovery) {
+  discovery_ = discovery;
+  moved_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
 void Resolver::stop() {
   stopped_ = true;
   boost::system::error_code ignored;
@@ -70,10 +81,12 @@
   auto wait = kFirstWait;
   while (!stopped_) {
     good_ = false;
+    if (std::exchange(moved_, false)) index_ = 0;
     co_await follow();
     boost::system::error_code ignored;
     socket_.close(ignored);
     if (stopped_) co_return;
+    if (moved_) continue;
     ++counters_.resolver_breaks;
     wait = good_ ? kFirstWait : std::min(kLongestWait, wait * 2);
     timer_.expires_after(wait);
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -17,6 +17,7 @@
   Resolver(net::asio::io_context& io, core::Core& core, const config::Address& discovery, Listener listener,
            metrics::Logger& logger, metrics::Counters& counters);
   void start(const config::ResolverResult& known, bool watches);
+  void move(const config::Address& discovery);  // a new configuration: the watch goes there at once
   void stop();
 
  private:
@@ -28,14 +29,15 @@
   net::tcp::socket socket_;
   net::asio::steady_timer timer_;
   core::Core& core_;
-  const config::Address discovery_;
+  config::Address discovery_;
   Listener listener_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   std::chrono::nanoseconds to_steady_{};  // steady clock less Unix time, fixed at the start
   std::int64_t index_ = 0;
   bool stopped_ = false;
-  bool good_ = false;  // this watch has brought something
+  bool moved_ = false;  // discovery is elsewhere since the watch began
+  bool good_ = false;   // this watch has brought something
 };
 
 // A worker's start on the module's clock; 0 stays 0, 'long ago'.
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -7,6 +7,8 @@
 // with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
 // `crowd 20` opens so many idle channels, `few 40` before `serve` limits the program's descriptors, and
 // `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
+// `reload E` writes a configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty;
+// then SIGHUP.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
@@ -89,9 +91,7 @@
 class Player {
  public:
   explicit Player(const char* program) : program_(program) {}
-  ~Player() {
-    if (child_ > 0) ::kill(child_, SIGKILL);
-  }
+  ~Player() { clean(); }
 
   void play(const char* file) {
     std::ifstream in(file);
@@ -120,10 +120,16 @@
  private:
   [[noreturn]] void fail(const std::string& what) {
     std::cout << "line " << at_ << ": " << what << std::endl;
-    if (child_ > 0) ::kill(child_, SIGKILL);
+    clean();
     std::exit(1);
   }
 
+  void clean() {
+    if (child_ > 0) ::kill(child_, SIGKILL);
+    for (const auto* end : {".json", "-graphql.json", ".console", ".collectd"})
+      ::unlink((folder_ + end).c_str());
+  }
+
   void flush() {
     if (pending_.empty()) return;
     const auto who = pending_.substr(0, 1);
@@ -191,11 +197,15 @@
       if (fds_[b] < 0) fail("cannot connect");
     } else if (a == "accept") {
       const int listener = b == "D"   ? discovery_.fd
+                           : b == "E" ? other_.fd
                            : b == "G" ? graphite_.fd
                            : b == "K" ? collectd_
                                       : worker_.fd;
       if (!ready(listener, kPatienceMs)) fail("nobody connects");
       fds_[b] = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    } else if (a == "reload") {
+      configure(b == "E" ? other_.port : discovery_.port, b == "bad" ? "\"limits\":{\"sockets\":1}," : "");
+      ::kill(child_, SIGHUP);
     } else if (a == "term") {
       ::kill(child_, SIGTERM);
     } else if (a == "exit") {
@@ -216,10 +226,21 @@
     }
   }
 
+  static std::string here(int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; }
+
+  void configure(int discovery, const std::string& more) {
+    std::ofstream(folder_ + ".json")
+        << "{\"name\":\"n0\",\"listen\":" << here(port_) << ",\"discovery\":" << here(discovery) << ","
+        << more
+        << "\"seed\":\"5\",\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":[{\"name\":\"one\","
+           "\"address\":"
+        << here(worker_port_)
+        << ",\"zone\":\"z\",\"status\":\"active\",\"since_ms\":0}]},\"settings\":" << kSettings << "}";
+  }
+
   void serve(const std::string& front, bool ops) {
-    const auto folder = std::string("exchange-") + std::to_string(::getpid());
-    console_ = folder + ".console";
-    const auto collectd = folder + ".collectd", graphite = "127.0.0.1:" + std::to_string(graphite_.port);
+    console_ = folder_ + ".console";
+    const auto collectd = folder_ + ".collectd", graphite = "127.0.0.1:" + std::to_string(graphite_.port);
     if (ops) {
       collectd_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
       const auto at = local(collectd);
@@ -227,27 +248,19 @@
       assert(::bind(collectd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
              ::listen(collectd_, 8) == 0);
     }
-    const auto here = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
     Listener free;
     port_ = free.shut();
     if (worker_port_ == 0) worker_port_ = worker_.port;
-    const auto entry = [&](const char* name, int port) {
-      return std::string("{\"name\":\"") + name + "\",\"address\":" + here(port) +
-             ",\"zone\":\"z\",\"status\":\"active\",\"since_ms\":0}";
-    };
-    std::ofstream(folder + ".json")
-        << "{\"name\":\"n0\",\"listen\":" << here(port_) << ",\"discovery\":" << here(discovery_.port)
-        << ",\"seed\":\"5\",\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":["
-        << entry("one", worker_port_) << "]},\"settings\":" << kSettings << "}";
-    std::ofstream(folder + "-graphql.json") << "{\"listen\":" << here(port_) << ",\"servers\":["
-                                            << here(worker_port_) << "],\"fields\":" << kFields << "}";
+    configure(discovery_.port, "");
+    std::ofstream(folder_ + "-graphql.json") << "{\"listen\":" << here(port_) << ",\"servers\":["
+                                             << here(worker_port_) << "],\"fields\":" << kFields << "}";
     child_ = ::fork();
     if (child_ == 0) {
       const rlimit few{descriptors_, descriptors_};
       if (descriptors_ > 0) ::setrlimit(RLIMIT_NOFILE, &few);
-      ::setenv("ROUTER_CONFIG", (folder + ".json").c_str(), 1);
+      ::setenv("ROUTER_CONFIG", (folder_ + ".json").c_str(), 1);
       for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) ::unsetenv(name);
-      const auto file = folder + "-graphql.json";
+      const auto file = folder_ + "-graphql.json";
       if (front == "graphql") {
         ::execl(program_, program_, "serve", "--graphql", file.c_str(), nullptr);
       } else if (ops) {
@@ -281,7 +294,8 @@
     "size_argument":"first"},"statuses":{"cost":1,"size_argument":"ids"},"book":{"cost":2,"booking":true}})";
 
   const char* program_;
-  Listener worker_, discovery_, graphite_;
+  const std::string folder_ = "exchange-" + std::to_string(::getpid());
+  Listener worker_, discovery_, other_, graphite_;
   int worker_port_ = 0, port_ = 0, at_ = 0, collectd_ = -1;
   rlim_t descriptors_ = 0;
   pid_t child_ = 0;
