Bound channels in time, bytes and number, and check every term of a request

At fault in channel_server.cpp: accept() took one connection per 20 ms once full, make_room() only asked the oldest to leave, no clock ran on a head, a body, silence or a client that stays after its error; in fields.cpp and platform.cpp the ranges of units, spread, first and customer, the class's method and ids in flight were not looked at.

Terms out of range, said twice, a wrong method: 4xx; an id in flight: 409. New counters for each.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -146,6 +146,9 @@
     const auto sockets = number_or(*limits, "sockets", "limits.", 1024);
     if (sockets < 32) throw Error("limits.sockets: must be 32 or more");
     config.sockets = static_cast<std::size_t>(sockets);
+    const auto memory_mb = number_or(*limits, "memory_mb", "limits.", 192);
+    if (memory_mb < 16) throw Error("limits.memory_mb: must be 16 or more");
+    config.memory_mb = static_cast<std::size_t>(memory_mb);
   }
   if (const auto* known = root.find("known"); known && !known->is_null()) {
     config.known = parse_resolver_result(*known, "known");
@@ -214,6 +217,7 @@
   check(running.peer_listen == file.peer_listen, "peer_listen");
   check(running.peers == file.peers, "peers");
   check(running.sockets == file.sockets, "limits.sockets");
+  check(running.memory_mb == file.memory_mb, "limits.memory_mb");
   check(running.settings == settings && running.load_fields == file.load_fields &&
             running.connect_timeout == file.connect_timeout &&
             running.connection_idle == file.connection_idle,
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -44,7 +44,7 @@
   Address listen, discovery;
   std::optional<Address> peer_listen;
   std::vector<Address> peers;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory_mb = 192;
   ResolverResult known;
   cranemux::Settings settings;
   std::vector<std::string> load_fields;
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -1,10 +1,51 @@
 #include "front/channel_server.h"
 
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <tuple>
+
 namespace cranemux::front {
 namespace {
 
-constexpr std::chrono::milliseconds kAcceptPause{20};  // where descriptors have run out
-constexpr std::chrono::seconds kLinger{2};             // for a client to end its side, or finish its request
+using State = HttpChannel::State;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kAcceptPause{20};  // where there is no room at all, or descriptors have run out
+constexpr milliseconds kSweep{100};
+constexpr milliseconds kSilent{2000};       // for the first byte of the first request, and idle in a crowd
+constexpr milliseconds kReading{2500};      // for a whole request; for the first one, from the connection on
+constexpr milliseconds kIdle{30'000};       // between requests, while there is room
+constexpr milliseconds kWriting{3000};      // for a client to take its answer
+constexpr milliseconds kLeaving{1000};      // for a client to end its side after its last answer
+constexpr milliseconds kFresh{250};         // a client that means well has sent its request by then
+constexpr std::size_t kMostAhead = 16'384;  // sent on while it waits for an answer
+constexpr std::size_t kMostDiscarded = 1024 * 1024;  // of what comes after the last answer
+
+milliseconds limit_of(State state, bool crowded) {
+  switch (state) {
+    case State::silent:
+      return kSilent;
+    case State::reading:
+      return kReading;
+    case State::waiting:
+      return std::chrono::hours(24);  // the core answers in time
+    case State::writing:
+      return kWriting;
+    case State::idle:
+      return crowded ? kSilent : kIdle;
+    case State::leaving:
+      return kLeaving;
+  }
+  return kIdle;
+}
+
+// Which goes first where room is short: those done with, those that dawdle, those between requests, the rest.
+int rank_of(State state, net::Clock::duration age) {
+  if (state == State::leaving) return 0;
+  if (state == State::idle) return 2;
+  return age > kFresh ? 1 : 3;
+}
 
 }  // namespace
 
@@ -16,21 +57,51 @@
   socket_.non_blocking(true, ignored);
 }
 
-HttpChannel::~HttpChannel() { server_.channels_.erase(this); }
+HttpChannel::~HttpChannel() { cut(); }
+
+HttpChannel::State HttpChannel::state() const {
+  if (waits_) return State::waiting;
+  if (writing_) return State::writing;
+  if (last_) return State::leaving;
+  if (!in_.empty()) return State::reading;
+  return spoke_ ? State::idle : State::silent;
+}
 
+// Input is read when there is some, into a buffer that all channels share, so idle ones hold none.
 net::awaitable<void> HttpChannel::run() {
   const auto self = shared_from_this();
   while (!broken_) {
-    const auto [error, count] = co_await socket_.async_read_some(net::asio::buffer(piece_), net::kResult);
-    if (error) break;
-    in_.append(piece_.data(), count);
-    if (in_.size() > http::kMostBuffer) break;  // sends on while it waits for an answer
+    if (const auto [error] = co_await socket_.async_wait(net::tcp::socket::wait_read, net::kResult); error)
+      break;
+    boost::system::error_code error;
+    auto& piece = server_.piece_;
+    const auto count = broken_ ? 0 : socket_.read_some(net::asio::buffer(piece), error);
+    if (error == net::asio::error::would_block) continue;
+    if (error || count == 0) break;
+    if (last_) {  // a close with unread input could destroy the last answer on its way
+      discarded_ += count;
+      if (discarded_ <= kMostDiscarded) continue;
+      net::asio::steady_timer rest(socket_.get_executor(), kLeaving);
+      co_await rest.async_wait(net::kResult);
+      break;
+    }
+    if (in_.empty() && spoke_ && !waits_ && !writing_) since_ = net::Clock::now();
+    in_.append(piece.data(), count);
     process();
+    counted();
+    if ((waits_ || writing_) && in_.size() > kMostAhead) {
+      paused_ = true;
+      co_return;
+    }
   }
+  if (waits_ && rpc_ != 0 && !broken_) server_.core_.abandoned(rpc_);
   broken_ = true;
-  if (waits_ && rpc_ != 0) server_.core_.abandoned(rpc_);
-  boost::system::error_code ignored;
-  if (!writing_) socket_.close(ignored);
+  if (!writing_) cut();
+}
+
+void HttpChannel::resume() {
+  if (broken_ || waits_ || writing_ || !std::exchange(paused_, false)) return;
+  net::spawn(socket_.get_executor(), server_.logger_, "channel", run());
 }
 
 void HttpChannel::process() {
@@ -38,23 +109,38 @@
   processing_ = true;
   while (!waits_ && !writing_ && !last_ && !broken_ && !in_.empty() && in_.size() >= need_) {
     http::Message message;
-    const auto verdict = http::parse(in_, http::Kind::request, message);
+    auto verdict = http::parse(in_, http::Kind::request, message);
     need_ = verdict.need;
-    if (verdict.state == http::State::partial) break;
+    if (verdict.state == http::State::partial) {
+      if (in_.size() <= http::kMostBuffer) break;
+      verdict = {http::State::bad, 413, 0};
+    }
     if (verdict.state == http::State::bad) {
       ++server_.counters_.bad_requests;
       last_ = true;
+      std::string().swap(in_);
       reply(server_.front_.malformed(verdict.status));
       break;
     }
     last_ = !message.keep_alive;
     waits_ = true;
-    auto handled = server_.front_.request(message, shared_from_this());
+    since_ = net::Clock::now();
+    body_ = message.body.size();
+    Handled handled;
+    if (body_ > 0 && server_.bytes_ > server_.limits_.bytes) {
+      ++server_.counters_.requests_no_memory;
+      handled.reply = server_.front_.malformed(503);
+    } else {
+      handled = server_.front_.request(message, shared_from_this());
+    }
     in_.erase(0, message.size);
+    if (in_.empty() || last_) std::string().swap(in_);
     need_ = 0;
     if (handled.reply) {
       waits_ = false;
-      if (handled.reply->status == 400) ++server_.counters_.bad_requests;
+      body_ = 0;
+      const auto status = handled.reply->status;
+      if (status >= 400 && status < 500) ++server_.counters_.bad_requests;
       reply(*handled.reply);
     } else {
       rpc_ = handled.rpc;
@@ -67,10 +153,13 @@
 void HttpChannel::answer(core::RpcId, core::FinalAnswer&& answer) {
   rpc_ = 0;
   waits_ = false;
+  body_ = 0;
   const auto context = std::move(context_);
   if (broken_) return;
   reply(server_.front_.answer(std::move(answer), context));
   process();
+  counted();
+  resume();
 }
 
 void HttpChannel::reply(const Reply& reply) {
@@ -91,13 +180,10 @@
 void HttpChannel::write() {
   boost::system::error_code error;
   sent_ += socket_.write_some(net::asio::buffer(out_), error);
-  if (error && error != net::asio::error::would_block) {
-    broken_ = true;
-    socket_.close(error);
-    return;
-  }
+  if (error && error != net::asio::error::would_block) return cut();
   if (sent_ == out_.size()) return written();
   writing_ = true;
+  since_ = net::Clock::now();
   net::spawn(socket_.get_executor(), server_.logger_, "answer", write_rest(shared_from_this()));
 }
 
@@ -107,49 +193,95 @@
       net::kResult);
   self->writing_ = false;
   if (error || self->broken_) {
-    self->broken_ = true;
-    boost::system::error_code ignored;
-    self->socket_.close(ignored);
+    self->cut();
     co_return;
   }
   self->written();
   self->process();
+  self->counted();
+  self->resume();
 }
 
 void HttpChannel::written() {
-  out_.clear();
-  idle_since_ = net::Clock::now();
+  std::string().swap(out_);
+  spoke_ = true;
+  since_ = net::Clock::now();
   if (last_) shut();
 }
 
-// Ends the sending; the client's end, or its next request, ends the reading.
+// Ends the sending; the client's end, or the time limit, ends the reading.
 void HttpChannel::shut() {
   boost::system::error_code ignored;
   socket_.shutdown(net::tcp::socket::shutdown_send, ignored);
 }
 
+void HttpChannel::cut() {
+  broken_ = true;
+  if (std::exchange(left_, true)) return;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  server_.bytes_ -= std::exchange(counted_, 0);
+  server_.left(this);
+}
+
+void HttpChannel::counted() {
+  if (broken_) return;
+  server_.bytes_ -= counted_;
+  counted_ = bytes();
+  server_.bytes_ += counted_;
+  if (server_.bytes_ > server_.limits_.bytes) server_.make_memory();
+}
+
+bool HttpChannel::unread() {
+  char byte = 0;
+  return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void HttpChannel::close_between_requests() {
-  if (!idle() || last_ || !in_.empty()) return;
+  const auto now = state();
+  if ((now != State::idle && now != State::silent) || unread()) return;
   last_ = true;
-  idle_since_ = net::Clock::now();
+  since_ = net::Clock::now();
   shut();
 }
 
-void HttpChannel::evict() {
-  if (!idle()) return;
-  if (!last_ && in_.empty()) return close_between_requests();
-  broken_ = true;
-  boost::system::error_code ignored;
-  socket_.close(ignored);
+void HttpChannel::time_out() {
+  switch (state()) {
+    case State::silent:
+    case State::idle:
+      ++server_.counters_.channels_idle_closed;
+      return close_between_requests();
+    case State::reading:
+      ++server_.counters_.requests_timed_out;
+      last_ = true;
+      std::string().swap(in_);
+      return reply(server_.front_.malformed(408));
+    case State::writing:
+    case State::leaving:
+      ++server_.counters_.channels_cut;
+      return cut();
+    case State::waiting:
+      return;
+  }
+}
+
+bool HttpChannel::evict() {
+  const auto now = state();
+  if (now == State::waiting || now == State::writing) return false;
+  if ((now == State::idle || now == State::silent) && unread()) return false;
+  ++server_.counters_.channels_evicted;
+  cut();
+  return true;
 }
 
 ChannelServer::ChannelServer(net::asio::io_context& io, const config::Address& listen,
-                             std::size_t most_channels, Front& front, core::Core& core,
+                             const ChannelLimits& limits, Front& front, core::Core& core,
                              metrics::Logger& logger, metrics::Counters& counters)
     : io_(io),
       acceptor_(io),
       pause_(io),
-      most_channels_(most_channels),
+      sweeper_(io),
+      limits_(limits),
       front_(front),
       core_(core),
       logger_(logger),
@@ -161,28 +293,64 @@
   acceptor_.listen(1024);
 }
 
-void ChannelServer::start() { net::spawn(io_, logger_, "accept", accept()); }
+// Channels may outlive the server in coroutines that are never resumed.
+ChannelServer::~ChannelServer() {
+  for (auto* channel : channels()) channel->cut();
+}
 
-// The channel that has been idle longest goes; so do those whose client does not end them, or never finishes
-// its request.
-void ChannelServer::make_room() {
-  HttpChannel* oldest = nullptr;
-  const auto slow = net::Clock::now() - kLinger;
-  for (auto* channel : std::vector<HttpChannel*>(channels_.begin(), channels_.end())) {
-    if (!channel->idle()) continue;
-    if (!channel->settled()) {
-      if (channel->idle_since() < slow) channel->evict();
-    } else if (!oldest || channel->idle_since() < oldest->idle_since()) {
-      oldest = channel;
+void ChannelServer::start() {
+  net::spawn(io_, logger_, "accept", accept());
+  net::spawn(io_, logger_, "channel sweep", sweep());
+}
+
+bool ChannelServer::make_room() {
+  using Candidate = std::tuple<int, net::Clock::time_point, HttpChannel*>;
+  std::vector<Candidate> candidates;
+  const auto now = net::Clock::now();
+  for (auto* channel : channels_) {
+    const auto state = channel->state();
+    if (state == State::waiting || state == State::writing) continue;
+    candidates.emplace_back(rank_of(state, now - channel->since()), channel->since(), channel);
+  }
+  std::sort(candidates.begin(), candidates.end());
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [](const auto& c) { return std::get<2>(c)->evict(); });
+}
+
+// Requests that are not whole yet go, the largest first, until the rest fits.
+void ChannelServer::make_memory() {
+  while (bytes_ > limits_.bytes) {
+    HttpChannel* largest = nullptr;
+    for (auto* channel : channels_) {
+      if (channel->state() != State::reading) continue;
+      if (!largest || channel->bytes() > largest->bytes()) largest = channel;
+    }
+    if (!largest || !largest->evict()) return;
+    ++counters_.requests_no_memory;
+  }
+}
+
+void ChannelServer::left(HttpChannel* channel) {
+  if (channels_.erase(channel) > 0 && full_) pause_.cancel();
+}
+
+net::awaitable<void> ChannelServer::sweep() {
+  for (;;) {
+    sweeper_.expires_after(kSweep);
+    if (const auto [error] = co_await sweeper_.async_wait(net::kResult); error) co_return;
+    const auto now = net::Clock::now();
+    const bool crowded = channels_.size() > limits_.channels / 2;
+    for (auto* channel : channels()) {
+      // None of those that follow is gone: only what times out itself leaves.
+      if (now - channel->since() >= limit_of(channel->state(), crowded)) channel->time_out();
     }
   }
-  if (oldest) oldest->evict();
 }
 
 net::awaitable<void> ChannelServer::accept() {
   while (acceptor_.is_open()) {
-    if (channels_.size() >= most_channels_) {
-      make_room();
+    full_ = channels_.size() >= limits_.channels && !make_room();
+    if (full_) {  // all of them wait for an answer
       pause_.expires_after(kAcceptPause);
       co_await pause_.async_wait(net::kResult);
       continue;
@@ -204,14 +372,14 @@
 
 void ChannelServer::drain() {
   draining_ = true;
-  const auto channels = std::vector<HttpChannel*>(channels_.begin(), channels_.end());
-  for (auto* channel : channels) channel->close_between_requests();
+  for (auto* channel : channels()) channel->close_between_requests();
 }
 
 void ChannelServer::stop() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   pause_.cancel();
+  sweeper_.cancel();
 }
 
 }  // namespace cranemux::front
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -1,12 +1,14 @@
-// Channels of clients that speak HTTP: accepts them, reads one request at a time, writes the answers.
-// A front says what a request means.
+// Channels of clients that speak HTTP: accepts them, reads one request at a time, writes the answers, and
+// bounds what a channel may hold and for how long. A front says what a request means.
 #pragma once
 
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "core/core.h"
 #include "http/http.h"
@@ -31,10 +33,15 @@
   net::awaitable<void> run();
   void answer(core::RpcId rpc, core::FinalAnswer&& answer) override;
   void close_between_requests();
-  void evict();  // closes it, where nothing is owed on it
-  bool idle() const { return !waits_ && !writing_; }
-  bool settled() const { return !last_ && in_.empty(); }  // between two requests
-  net::Clock::time_point idle_since() const { return idle_since_; }
+
+  // What the channel is doing: each but `waiting` has its time limit.
+  enum class State { silent, reading, waiting, writing, idle, leaving };
+  State state() const;
+  net::Clock::time_point since() const { return since_; }  // this state began
+  std::size_t bytes() const { return in_.capacity() + out_.capacity() + body_; }
+  void cut();
+  void time_out();  // its limit is over: says so, where the client has begun a request, and closes
+  bool evict();     // closes it at once, unless something has come on it that is not read yet
 
  private:
   void process();
@@ -43,16 +50,22 @@
   net::awaitable<void> write_rest(std::shared_ptr<HttpChannel> self);
   void written();
   void shut();
+  void counted();
+  bool unread();  // something has come that is not read yet
+  void resume();
 
   net::tcp::socket socket_;
   ChannelServer& server_;
-  std::array<char, 4096> piece_{};  // being read; apart from in_, which answers look at meanwhile
   std::string in_, out_;
-  std::size_t need_ = 0, sent_ = 0;
+  std::size_t need_ = 0, sent_ = 0, discarded_ = 0;
+  std::size_t body_ = 0;     // of the RPC in flight
+  std::size_t counted_ = 0;  // bytes that the server knows of
   core::RpcId rpc_ = 0;
   std::shared_ptr<void> context_;  // the front's own, for the answer
-  net::Clock::time_point idle_since_ = net::Clock::now();
-  bool waits_ = false, writing_ = false, last_ = false, broken_ = false, processing_ = false;
+  net::Clock::time_point since_ = net::Clock::now();
+  bool waits_ = false, writing_ = false, last_ = false, broken_ = false, processing_ = false, left_ = false;
+  bool spoke_ = false;   // has had an answer
+  bool paused_ = false;  // holds enough; reads on once it has answered
 };
 
 // What a front makes of a request: a reply at once, or an RPC made on the channel.
@@ -70,10 +83,16 @@
   virtual Reply malformed(int status) = 0;
 };
 
+struct ChannelLimits {
+  std::size_t channels = 600;
+  std::size_t bytes = 16 * 1024 * 1024;  // that all channels together may hold
+};
+
 class ChannelServer {
  public:
-  ChannelServer(net::asio::io_context& io, const config::Address& listen, std::size_t most_channels,
+  ChannelServer(net::asio::io_context& io, const config::Address& listen, const ChannelLimits& limits,
                 Front& front, core::Core& core, metrics::Logger& logger, metrics::Counters& counters);
+  ~ChannelServer();
   void start();
   void drain();  // answers what is taken, closes channels between requests; still accepts
   void stop();   // accepts no more
@@ -82,18 +101,24 @@
  private:
   friend class HttpChannel;
   net::awaitable<void> accept();
-  void make_room();
+  net::awaitable<void> sweep();
+  bool make_room();
+  void make_memory();
+  void left(HttpChannel* channel);
+  std::vector<HttpChannel*> channels() const { return {channels_.begin(), channels_.end()}; }
 
   net::asio::io_context& io_;
   net::tcp::acceptor acceptor_;
-  net::asio::steady_timer pause_;
-  const std::size_t most_channels_;
+  net::asio::steady_timer pause_, sweeper_;
+  const ChannelLimits limits_;
   Front& front_;
   core::Core& core_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
+  std::array<char, 16 * 1024> piece_{};  // what a channel has just read
   std::unordered_set<HttpChannel*> channels_;
-  bool draining_ = false;
+  std::size_t bytes_ = 0;  // held by all channels
+  bool draining_ = false, full_ = false;
 };
 
 }  // namespace cranemux::front
--- a/src/front/fields.cpp
+++ b/src/front/fields.cpp
@@ -1,19 +1,43 @@
 #include "front/fields.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cranemux::front {
 
-std::string_view member(std::string_view text, std::string_view name, char separator) {
+namespace {
+
+constexpr std::uint64_t kCustomers = std::uint64_t{1} << 33U;  // their numbers are below it
+
+// What decides about a request may be said once only: another reader might take the other.
+constexpr std::string_view kOnce[] = {"Req-Id",          "Req-Kind",     "X-Tier",    "Cookie",
+                                      "Req-Deadline-Ms", "X-Call-Terms", "Req-Retry", "Host"};
+
+template <typename Each>
+void members(std::string_view text, char separator, Each each) {
   while (!text.empty()) {
     const auto end = std::min(text.find(separator), text.size());
     const auto part = http::trim(text.substr(0, end));
-    if (part.size() > name.size() && part.starts_with(name) && part[name.size()] == '=') {
-      return part.substr(name.size() + 1);
-    }
+    const auto equals = part.find('=');
+    if (equals != std::string_view::npos) each(part.substr(0, equals), part.substr(equals + 1));
     text.remove_prefix(std::min(end + 1, text.size()));
   }
-  return {};
+}
+
+bool twice(std::string_view text, std::string_view name, char separator) {
+  int seen = 0;
+  members(text, separator, [&](auto key, auto) { seen += key == name; });
+  return seen > 1;
+}
+
+}  // namespace
+
+std::string_view member(std::string_view text, std::string_view name, char separator) {
+  std::string_view found;
+  members(text, separator, [&](auto key, auto value) {
+    if (key == name && found.empty()) found = value;
+  });
+  return found;
 }
 
 std::string url_decode(std::string_view text) {
@@ -31,23 +55,42 @@
 }
 
 std::string read_caller(const http::Message& message, const core::Core& core, core::RpcTerms& terms) {
+  for (const auto name : kOnce) {
+    const auto same = [&](const auto& field) { return http::same_name(field.first, name); };
+    if (std::count_if(message.fields.begin(), message.fields.end(), same) > 1) {
+      return std::string(name) + " is there twice";
+    }
+  }
   if (const auto told = message.field("Req-Deadline-Ms")) {
     const auto deadline = number<std::int64_t>(*told);
     if (!deadline || *deadline < 0 || *deadline > 3'600'000) return "Req-Deadline-Ms is no time";
     terms.budget = std::chrono::milliseconds(*deadline);
   }
-  terms.customer = member(message.field("Cookie").value_or(""), "client", ';');
-  if (terms.customer.size() > 16 || !number<std::uint64_t>(terms.customer, 16)) {
+  const auto cookie = message.field("Cookie").value_or("");
+  const auto client = member(cookie, "client", ';');
+  const auto customer = number<std::uint64_t>(client, 16);
+  if (client.size() != 16 || !customer || *customer >= kCustomers || twice(cookie, "client", ';')) {
     return "the cookie client names no customer";
   }
+  std::transform(client.begin(), client.end(), std::back_inserter(terms.customer),
+                 [](char c) { return c >= 'A' && c <= 'F' ? static_cast<char>(c - 'A' + 'a') : c; });
   terms.plan = message.field("X-Tier").value_or("");
   if (!core.plan(terms.plan)) return "X-Tier names no plan";
   const auto told = message.field("X-Call-Terms").value_or("");
-  const auto spread = member(told, "spread", ','), first = member(told, "first", ',');
   const auto gateways = core.settings().gateways;
-  terms.spread = spread.empty() ? gateways : number<int>(spread).value_or(0);
-  terms.first = first.empty() ? 0 : number<int>(first).value_or(-1);
-  if (terms.spread < 1 || terms.first < 0) return "X-Call-Terms: no set";
+  const auto within = [&](std::string_view name, int least, int most, int absent) -> std::optional<int> {
+    const auto text = member(told, name, ',');
+    if (text.empty()) return absent;
+    const auto value = number<int>(text);
+    return value && *value >= least && *value <= most ? value : std::nullopt;
+  };
+  const auto spread = within("spread", 1, gateways, gateways), first = within("first", 0, gateways - 1, 0);
+  if (!spread || !first || twice(told, "spread", ',') || twice(told, "first", ',') ||
+      twice(told, "units", ',')) {
+    return "X-Call-Terms: no set";
+  }
+  terms.spread = *spread;
+  terms.first = *first;
   terms.repeat = message.field("Req-Retry").value_or("") == "1";
   return {};
 }
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -8,10 +8,16 @@
 namespace cranemux::front {
 namespace {
 
+constexpr std::size_t kMostId = 128;
+
+using OpenIds = std::unordered_set<std::string>;
+
 class PlatformExchange : public attempt::Exchange {
  public:
-  PlatformExchange(const http::Message& message, std::shared_ptr<const std::vector<std::string>> load_fields)
-      : load_fields_(std::move(load_fields)) {
+  PlatformExchange(const http::Message& message, std::shared_ptr<const std::vector<std::string>> load_fields,
+                   std::shared_ptr<OpenIds> open, std::string id)
+      : load_fields_(std::move(load_fields)), open_(std::move(open)), id_(std::move(id)) {
+    open_->insert(id_);
     head_.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\nHost: ");
     head_.append(message.field("Host").value_or("worker")).append("\r\nReq-Id: ");
     head_.append(message.field("Req-Id").value_or("")).append("\r\nReq-Kind: ");
@@ -25,6 +31,10 @@
     body_ = message.body;
   }
 
+  ~PlatformExchange() override { open_->erase(id_); }
+  PlatformExchange(const PlatformExchange&) = delete;
+  PlatformExchange& operator=(const PlatformExchange&) = delete;
+
   std::string message(std::chrono::milliseconds patience) const override {
     std::string out;
     out.reserve(head_.size() + body_.size() + 48);
@@ -50,6 +60,8 @@
  private:
   std::string head_, body_;
   std::shared_ptr<const std::vector<std::string>> load_fields_;
+  std::shared_ptr<OpenIds> open_;
+  std::string id_;
 };
 
 }  // namespace
@@ -80,17 +92,28 @@
   if (message.target == "/health/ready" || message.target == "/health/live") {
     return {Reply{200, "ok\n", {}, "text/plain"}};
   }
-  const auto bad = [](const std::string& what) { return Handled{Reply{400, what + "\n", {}, "text/plain"}}; };
+  const auto bad = [](const std::string& what, int status = 400) {
+    return Handled{Reply{status, what + "\n", {}, "text/plain"}};
+  };
   core::RpcTerms terms;
-  if (message.field("Req-Id").value_or("").empty()) return bad("Req-Id is missing");
+  const std::string id(message.field("Req-Id").value_or(""));
+  if (id.empty()) return bad("Req-Id is missing");
+  if (id.size() > kMostId) return bad("Req-Id is too long");
   terms.klass = message.field("Req-Kind").value_or("");
   if (!core_.knows_class(terms.klass)) return bad("Req-Kind names no class");
+  if (message.method != (core_.unsafe_class(terms.klass) ? "POST" : "GET")) {
+    return bad("the class of Req-Kind goes by another method", 405);
+  }
+  if (message.method == "GET" && !message.body.empty()) return bad("GET brings no body");
   if (!message.field("Req-Deadline-Ms")) return bad("Req-Deadline-Ms is missing");
   if (const auto wrong = read_caller(message, core_, terms); !wrong.empty()) return bad(wrong);
   const auto units = read_units(message);
-  if (!units || !std::isfinite(*units) || *units <= 0 || *units > 1e6) return bad("X-Call-Terms: no units");
+  if (!units || !(*units >= 1 && *units <= core_.settings().most_units) || *units != std::floor(*units)) {
+    return bad("X-Call-Terms: no units");
+  }
+  if (open_->contains(id)) return bad("Req-Id is that of an open request", 409);
   terms.units = *units;
-  auto payload = std::make_shared<PlatformExchange>(message, load_fields_);
+  auto payload = std::make_shared<PlatformExchange>(message, load_fields_, open_, id);
   return {std::nullopt, core_.take(std::move(terms), std::move(payload), channel)};
 }
 
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -1,6 +1,8 @@
 // The platform's protocol: a thin front.
 #pragma once
 
+#include <unordered_set>
+
 #include "attempt/attempts.h"
 #include "front/channel_server.h"
 
@@ -16,6 +18,9 @@
  private:
   core::Core& core_;
   std::shared_ptr<const std::vector<std::string>> load_fields_;
+  // Ids of RPCs that are in flight, kept by their payloads.
+  std::shared_ptr<std::unordered_set<std::string>> open_ =
+      std::make_shared<std::unordered_set<std::string>>();
 };
 
 // `TEXT inflight=7, queue=2`: the fields that the settings name.
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -14,6 +14,11 @@
           std::chrono::nanoseconds(config.settings.drain_grace), config.sockets * 3 / 10};
 }
 
+// A quarter of the memory for what channels hold; calls to workers may hold as much.
+front::ChannelLimits channel_limits_of(const config::Config& config) {
+  return {config.sockets * 6 / 10, config.memory_mb * 1024 * 1024 / 4};
+}
+
 config::Config with_graphql(config::Config config, const std::optional<front::GraphqlConfig>& graphql) {
   if (!graphql) return config;
   config.listen = graphql->listen;
@@ -44,7 +49,7 @@
       attempts_(io, core_, limits_of(config_), logger, counters_),
       peers_(io, core_, config_, logger, counters_),
       front_(make_front(core_, config_, options.graphql, counters_)),
-      channels_(io, config_.listen, config_.sockets * 6 / 10, *front_, core_, logger, counters_),
+      channels_(io, config_.listen, channel_limits_of(config_), *front_, core_, logger, counters_),
       resolver_(
           io, core_, config.discovery,
           [this](const config::ResolverResult& result, bool whole) { attempts_.resolved(result, whole); },
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -207,6 +207,10 @@
       return "Method Not Allowed";
     case 406:
       return "Not Acceptable";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 415:
