Tell spoilt, cut and crowded answers of workers apart from good ones

Checked by reading against PROTOCOL and by exchanges: net.h read_more() gave 0 for a reset as for an end, so attempts.cpp served a body that runs to the close cut short; a second 1xx was taken for the answer; a lack of room of our own went to the module as connect_failed, a strike against a good worker; X-Cost-Units reached the ledger though nothing is settled here, and nan or inf passed as figures; connections of a worker's earlier process came back into use.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -44,6 +44,7 @@
     if (moved) {  // connections to the process before it lead nowhere
       connections_ -= worker->idle.size();
       worker->idle.clear();
+      ++worker->generation;
     }
     if (entry.state == "active") {
       worker->entry = entry;
@@ -53,6 +54,10 @@
       stop(*worker, entry.state.c_str());
     }
   }
+  forget_left();
+}
+
+void Attempts::forget_left() {
   std::erase_if(workers_, [&](const auto& item) {
     auto& worker = *item.second;
     if (worker.entry.state != "left" || worker.busy > 0) return false;
@@ -108,22 +113,29 @@
   core::AttemptResult result;
   result.result = Result::connect_failed;
   if (call->worker && call->stop == Stop::none) {
+    const auto generation = call->worker->generation;
     ++call->worker->busy;
     limit(call, std::min(call->give_up, call->started + limits_.connect_timeout));
     call->connection = reuse(*call->worker);
     const bool up = call->connection || co_await open(*call);
     // A drain may have begun while the connection came up.
-    if (up && call->stop == Stop::none && Clock::now() < call->worker->stop_at) {
+    const bool late = Clock::now() >= call->worker->stop_at;
+    if (up && call->stop == Stop::none && !late) {
       limit(call, call->give_up);
       result = co_await exchange(*call);
+    } else if (call->no_room || (up && late)) {
+      result.result = Result::moot;  // nothing was sent, and the worker is not to blame
     }
     call->timer.cancel();
     --call->worker->busy;
     if (call->connection) {
       call->connection->idle_since = Clock::now();
-      if (call->connection->socket.is_open()) {
+      // One to a worker that has gone, or to the process before it, is of no use.
+      const bool lasts = call->worker->entry.state != "left" && call->worker->generation == generation;
+      if (call->connection->socket.is_open() && lasts) {
         call->worker->idle.push_back(std::move(call->connection));
       } else {
+        call->connection.reset();
         --connections_;
       }
     }
@@ -164,7 +176,9 @@
 
 net::awaitable<bool> Attempts::open(Call& call) {
   if (!make_room()) {
-    logger_.log(metrics::Level::warning, "no room for a connection to ", call.worker->entry.name);
+    ++counters_.attempts_no_room;
+    logger_.log(metrics::Level::debug, "no room for a connection to ", call.worker->entry.name);
+    call.no_room = true;
     co_return false;
   }
   call.connection.reset(new Connection{net::tcp::socket(io_), {}, {}});
@@ -172,8 +186,10 @@
   boost::system::error_code error;
   const auto target = net::endpoint<net::tcp>(call.worker->entry.address);
   socket.open(target.protocol(), error);
-  if (error) {
+  if (error) {  // as when descriptors have run out
+    ++counters_.attempts_no_room;
     call.connection.reset();
+    call.no_room = true;
     co_return false;
   }
   ++connections_;
@@ -210,31 +226,38 @@
   std::size_t count = 0;
   std::tie(error, count) = co_await net::asio::async_write(socket, net::asio::buffer(message), net::kResult);
   call.written = count == message.size();
-  core::AttemptResult result = broken(call);
   http::Message answer;
   http::Verdict verdict;
+  std::size_t before = 0;  // bytes of 1xx answers, which come before the answer
   connection.buffer.clear();
   while (!error && call.stop == Stop::none) {
-    const bool ended = co_await net::read_more(socket, connection.buffer) == 0;
-    if (call.stop != Stop::none) break;
-    if (!ended && connection.buffer.size() < verdict.need) continue;
-    verdict = http::parse(connection.buffer, http::Kind::response, answer, ended);
-    if (verdict.state == http::State::whole && answer.status < 200) {  // 1xx comes before the answer
+    error = co_await net::read_some(socket, connection.buffer);
+    if (call.stop != Stop::none || (error && error != net::asio::error::eof)) break;
+    if (!error && connection.buffer.size() < verdict.need) continue;
+    for (;;) {
+      verdict = http::parse(connection.buffer, http::Kind::response, answer, error == net::asio::error::eof);
+      if (verdict.state != http::State::whole || answer.status >= 200) break;
+      before += answer.size;
+      if (answer.status == 101 || before > http::kMostHead) {
+        verdict = {http::State::bad, 502, 0};
+        break;
+      }
       connection.buffer.erase(0, answer.size);
-      verdict = http::parse(connection.buffer, http::Kind::response, answer, ended);
     }
-    if (ended || verdict.state != http::State::partial) break;
+    if (verdict.state != http::State::partial) break;
   }
-  if (verdict.state == http::State::whole && call.stop == Stop::none) {
-    result = payload.read(answer);
-    if (answer.keep_alive && answer.size == connection.buffer.size()) {
-      connection.buffer.clear();
-      co_return result;
-    }
-  } else {
-    result = broken(call);
-    if (verdict.state == http::State::bad) result.result = Result::error;
+  const bool whole = verdict.state == http::State::whole && call.stop == Stop::none;
+  auto result = whole ? payload.read(answer) : broken(call);
+  if (verdict.state == http::State::bad && call.stop == Stop::none) {
+    ++counters_.attempts_spoilt;
+    logger_.log(metrics::Level::info, "spoilt answer of ", call.worker->entry.name);
+    result.result = Result::error;
+  }
+  if (whole && answer.keep_alive && answer.size == connection.buffer.size()) {
+    std::string().swap(connection.buffer);
+    co_return result;
   }
+  if (whole && answer.size < connection.buffer.size()) ++counters_.attempts_overfull;
   socket.close(ignored);
   co_return result;
 }
@@ -244,6 +267,7 @@
     sweeper_.expires_after(kSweep);
     const auto [error] = co_await sweeper_.async_wait(net::kResult);
     if (error) co_return;
+    forget_left();
     const auto oldest = Clock::now() - limits_.connection_idle * 4 / 5;
     for (auto& [name, worker] : workers_) {
       while (!worker->idle.empty() && worker->idle.front()->idle_since < oldest) {
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -55,7 +55,7 @@
     net::Clock::time_point stop_at = net::Clock::time_point::max();  // no first byte is sent after it
     std::deque<std::unique_ptr<Connection>> idle;                    // the last used at the back
     std::size_t busy = 0;
-    std::uint64_t sent = 0;
+    std::uint64_t sent = 0, generation = 0;  // of its process
   };
   enum class Stop { none, cancelled, timeout };
   struct Call {
@@ -68,7 +68,7 @@
     net::Clock::time_point started, give_up;
     std::shared_ptr<const core::Payload> payload;
     Stop stop = Stop::none;
-    bool written = false;
+    bool written = false, no_room = false;
   };
 
   net::awaitable<void> run(std::shared_ptr<Call> call);
@@ -79,6 +79,7 @@
   void limit(const std::shared_ptr<Call>& call, net::Clock::time_point at);
   void close(Call& call, Stop stop);
   bool make_room();
+  void forget_left();
   net::awaitable<void> sweep();
 
   net::asio::io_context& io_;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -100,7 +100,7 @@
   outcome.result = result.result;
   outcome.took = result.took.count();
   outcome.finished = !rpc.channel;
-  outcome.settled_units = result.true_units;
+  outcome.settled_units = settings_.settles ? result.true_units : 0;
   outcome.load = result.load;
   push(std::move(outcome));
   drop_if_over(id);
--- a/src/front/graphql/graphql.cpp
+++ b/src/front/graphql/graphql.cpp
@@ -38,7 +38,7 @@
   const auto* extensions = answer.find("extensions");
   const auto* cost = extensions ? extensions->find("cost") : nullptr;
   const auto* actual = cost ? cost->find("actual") : nullptr;
-  return actual && actual->number() ? std::max(0.0, actual->as_double(0)) : 0;
+  return actual && actual->number() ? std::clamp(actual->as_double(0), 0.0, 1e9) : 0;
 }
 
 class GraphqlExchange : public attempt::Exchange {
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -9,6 +9,13 @@
 namespace {
 
 constexpr std::size_t kMostId = 128;
+constexpr double kMostFigure = 1e9;
+
+// What a worker tells of itself may be anything; what makes no sense is not told at all.
+std::optional<double> figure(std::string_view text) {
+  const auto value = number<double>(text);
+  return value && *value >= 0 && *value <= kMostFigure ? value : std::nullopt;
+}
 
 using OpenIds = std::unordered_set<std::string>;
 
@@ -53,7 +60,7 @@
       result.result = cranemux::Result::error;
     }
     if (const auto load = answer.field("Srv-Load")) result.load = parse_load(*load, *load_fields_);
-    if (const auto cost = answer.field("X-Cost-Units")) result.true_units = number<double>(*cost).value_or(0);
+    if (const auto cost = answer.field("X-Cost-Units")) result.true_units = figure(*cost).value_or(0);
     return result;
   }
 
@@ -74,7 +81,7 @@
     if (std::find(fields.begin(), fields.end(), setting) == fields.end()) return;
     auto value = member(text, name, ',');
     if (value.empty()) value = member(text, setting, ',');
-    into = number<double>(value);
+    into = figure(value);
   };
   get(load.inflight, "outstanding", "inflight");
   get(load.queue, "backlog", "queue");
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -15,6 +15,7 @@
   Count deadline_guards = 0;  // answered by the core since the module had not
   Count attempts_sent = 0, attempts_ok = 0, attempts_error = 0, attempts_full = 0, attempts_timeout = 0;
   Count attempts_connect_failed = 0, attempts_reset = 0, attempts_cancelled = 0, attempts_moot = 0;
+  Count attempts_spoilt = 0, attempts_overfull = 0, attempts_no_room = 0;
   Count worker_connections = 0;
   Count peer_sent = 0, peer_received = 0, peer_dropped = 0;
   Count reloads = 0, reloads_rejected = 0;
@@ -47,6 +48,9 @@
     visit("attempts_reset", attempts_reset);
     visit("attempts_cancelled", attempts_cancelled);
     visit("attempts_moot", attempts_moot);
+    visit("attempts_spoilt", attempts_spoilt);
+    visit("attempts_overfull", attempts_overfull);
+    visit("attempts_no_room", attempts_no_room);
     visit("worker_connections", worker_connections);
     visit("peer_sent", peer_sent);
     visit("peer_received", peer_received);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -40,13 +40,21 @@
                  });
 }
 
-// Reads what has come to the end of `buffer`; 0 at the end of the connection or on an error.
-inline awaitable<std::size_t> read_more(tcp::socket& socket, std::string& buffer, std::size_t piece = 4096) {
+// Reads what has come to the end of `buffer`. `eof` at the orderly end of the connection.
+inline awaitable<boost::system::error_code> read_some(tcp::socket& socket, std::string& buffer,
+                                                      std::size_t piece = 4096) {
   const auto had = buffer.size();
   buffer.resize(had + piece);
   auto [error, count] = co_await socket.async_read_some(asio::buffer(buffer.data() + had, piece), kResult);
   buffer.resize(had + (error ? 0 : count));
-  co_return error ? 0 : count;
+  co_return error;
+}
+
+// The same where all ends are alike: how much has come, 0 at any end.
+inline awaitable<std::size_t> read_more(tcp::socket& socket, std::string& buffer, std::size_t piece = 4096) {
+  const auto had = buffer.size();
+  co_await read_some(socket, buffer, piece);
+  co_return buffer.size() - had;
 }
 
 }  // namespace cranemux::net
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -2,13 +2,13 @@
 //
 // A line is a step. `open A` opens a channel; `accept W` and `accept D` take a connection at the worker or at
 // discovery. `A> text` sends and `A< text` expects bytes, with escapes as in C for carriage return, line end
-// and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A end`
-// expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
-// with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
-// `crowd 20` opens so many idle channels, `few 40` before `serve` limits the program's descriptors, and
-// `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
-// `reload E` writes a configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty;
-// then SIGHUP.
+// and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A reset`
+// breaks off, `A end` expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql`
+// starts the program, with a third word `ops` also with console (`open C`), Graphite (`accept G`) and
+// collectd (`accept K`), and `crowd 20` opens so many idle channels, `few 40` before `serve` limits the
+// program's descriptors, and `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit`
+// expects a clean end. `reload E` writes a configuration whose discovery is at `E` (`accept E`), `reload bad`
+// one that is faulty; then SIGHUP.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
@@ -215,6 +215,10 @@
       if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) fail("the program did not end cleanly");
     } else if (b == "close") {
       ::close(fds_.at(a));
+    } else if (b == "reset") {
+      const linger at_once{1, 0};
+      ::setsockopt(fds_.at(a), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      ::close(fds_.at(a));
     } else if (b == "end") {
       while (read(a, kPatienceMs)) {
       }
