Forget customers, budgets and workers that come once, and keep the console's newest

Checked: channels (64 to 87 descriptors, level) and worker connections, which are forgotten; what stayed was the module's accounts_ and claims (by customer), servers_ and by_id_ (by worker), budgets_ (by the millisecond that a client states, searched whole for each request) and the core's use_, which stopped at 4,096 and then missed who came later. Ruled out: leaks (ASan is clean).

A quiet account goes after 60 s once its store is full, and after its keepers' claims, whose totals would not fit its next ones; a ledger only once it is full; a worker's place is taken anew 60 s after it went, with nothing out; rare budgets fade. The console's table drops who was here longest ago.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -67,7 +67,8 @@
 constexpr Nanos kShun = 2 * kSecond;      // ... for this long, or until it is heard
 constexpr Nanos kAlone = 3 * kSecond;     // no message from anyone, longer than stalls: cut off
 constexpr double kSpike = 8;              // times the rate that a customer may ask: can it flood its keeper?
-constexpr Nanos kForget = 60 * kSecond;   // a ledger nobody asked about is full again
+constexpr Nanos kForget = 60 * kSecond;   // what nobody has asked about for so long may be forgotten
+constexpr std::size_t kBudgetsKept = 64;  // different budgets that are counted for a class
 
 constexpr std::uint64_t kSaneFigure = 1'000'000'000;  // a message that says more is damaged
 constexpr std::uint8_t kVersion = 2;
@@ -124,7 +125,7 @@
   double latency = 0;      // mean time of answers, ns; 0: none yet
   double window = 1;       // own attempts out that it may have; parts count towards the sum
   Nanos last_ok_sent = 0;  // when the newest attempt that it answered was sent
-  Nanos cut_at = 0, ejected_until = 0, ejected_for = 0;
+  Nanos cut_at = 0, ejected_until = 0, ejected_for = 0, listed = 0;
   int strikes = 0;
   double cold_tokens = 1;
 };
@@ -289,6 +290,10 @@
   // that is not the class's commonest tells a later try and its age, and the aim counts from the first.
   Nanos age_of(const Request& request, const ClassSettings& klass) {
     auto& seen = budgets_[klass.name];
+    if (seen.size() > kBudgetsKept) {  // clients may send any: the common ones outlast the others
+      for (auto& [budget, tries] : seen) tries /= 2;
+      std::erase_if(seen, [](const auto& budget) { return budget.second == 0; });
+    }
     ++seen[request.budget / kMs];
     const auto first = std::max_element(seen.begin(), seen.end(),
                                         [](const auto& a, const auto& b) { return a.second < b.second; });
@@ -603,8 +608,9 @@
       for (auto& server : servers_) server.entry.state = ServerState::gone;
     }
     for (const auto& entry : list.servers) {
-      const auto [at, fresh] = by_id_.try_emplace(entry.id, static_cast<int>(servers_.size()));
-      if (fresh) servers_.emplace_back();
+      if (entry.state == ServerState::gone && !by_id_.contains(entry.id)) continue;
+      const auto [at, fresh] = by_id_.try_emplace(entry.id, -1);
+      if (fresh) at->second = place_for_server();
       auto& server = servers_[static_cast<std::size_t>(at->second)];
       if (fresh || server.entry.started != entry.started) {
         const int open = server.open;
@@ -613,7 +619,22 @@
         server.cold_tokens = phase();
       }
       server.entry = entry;
+      server.listed = now_;
+    }
+  }
+
+  // A server that went so long ago that no attempt and no request remembers it leaves its place to a new one.
+  int place_for_server() {
+    const auto old = std::find_if(servers_.begin(), servers_.end(), [&](const Server& s) {
+      return s.entry.state == ServerState::gone && s.open == 0 && now_ - s.listed > kForget;
+    });
+    if (old == servers_.end()) {
+      servers_.emplace_back();
+      return static_cast<int>(servers_.size()) - 1;
     }
+    by_id_.erase(old->entry.id);
+    *old = Server{};
+    return static_cast<int>(old - servers_.begin());
   }
 
   // Where each gateway stands between two attempts at a cold server: all together they then send evenly.
@@ -907,7 +928,7 @@
       next_split_ = (now_ / kSubperiod + 1) * kSubperiod;
       refill_cold(now_ - std::exchange(refilled_, now_));
       for (auto& [hash, ledger] : ledgers_) share_out(ledger, -1);
-      std::erase_if(ledgers_, [&](const auto& l) { return now_ - l.second.heard > kForget; });
+      forget();
     }
     for (const auto hash : std::vector<std::uint32_t>(busy_.begin(), busy_.end())) {
       auto& a = accounts_.at(hash);
@@ -919,6 +940,27 @@
     next_tick_ = now_;
   }
 
+  // A quiet account goes once its store is full again, and after its keepers have dropped their claims, whose
+  // totals would not fit its next ones. A ledger goes once it is full.
+  void forget() {
+    for (auto& [hash, ledger] : ledgers_) {
+      std::erase_if(ledger.claims, [&](const auto& c) { return now_ - c.second.at > kForget / 2; });
+    }
+    std::erase_if(ledgers_, [&](const auto& item) {
+      const auto& [hash, ledger] = item;
+      return now_ - ledger.heard > kForget && (ledger.plan->rate <= 0 || ledger.level >= ledger.plan->burst);
+    });
+    std::erase_if(accounts_, [&](const auto& item) {
+      const auto& [hash, a] = item;
+      if (a.held > 0 || a.open > 0 || busy_.contains(hash)) return false;
+      if (!a.plan) return true;
+      const auto quiet = now_ - std::max(a.filled, a.asked);
+      const double level = a.level + a.plan->rate * static_cast<double>(quiet) / kSecond;
+      const double part = alone() ? 1.0 / a.spread : 1;
+      return quiet > kForget && (a.plan->rate <= 0 || level >= a.plan->burst * part);
+    });
+  }
+
   // Timers only while something waits; the subperiod's otherwise.
   void wake() {
     const bool works = !jobs_.empty() || !busy_.empty() || !posts_.empty();
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kGuard{4};  // before the deadline, when the module has not answered
-constexpr std::size_t kMostCustomers = 4096;    // that the console's table keeps
+constexpr std::size_t kMostCustomers = 1024;    // that the console's table keeps
 
 template <class... Ts>
 struct Overloaded : Ts... {
@@ -62,6 +62,7 @@
   rpc.payload = std::move(payload);
   rpc.channel = std::move(channel);
   guards_.emplace(rpc.guard, id);
+  count_use(terms);
   push(cranemux::Request{std::to_string(id), terms.klass, terms.plan, terms.customer, terms.budget.count(),
                          terms.units, terms.first, terms.spread, terms.repeat});
   rpc.terms = std::move(terms);
@@ -69,6 +70,19 @@
   return id;
 }
 
+// Where the table is full, who was here longest ago makes room.
+void Core::count_use(const RpcTerms& terms) {
+  if (use_.size() >= kMostCustomers && !use_.contains(terms.customer)) {
+    use_.erase(std::min_element(use_.begin(), use_.end(),
+                                [](const auto& a, const auto& b) { return a.second.last < b.second.last; }));
+    ++counters_.customers_forgotten;
+  }
+  auto& use = use_[terms.customer];
+  use.plan = terms.plan;
+  use.last = last_id_;
+  ++use.rpcs;
+}
+
 void Core::abandoned(RpcId id) {
   const auto at = rpcs_.find(id);
   if (at == rpcs_.end() || !at->second.channel) return;
@@ -180,11 +194,9 @@
     return push(cranemux::Outcome{
         send.request, rpc ? rpc->attempts - 1 : 0, cranemux::Result::moot, 0, !rpc || !rpc->channel, 0, {}});
   }
-  if (rpc->attempts == 0 && (use_.size() < kMostCustomers || use_.count(rpc->terms.customer))) {
-    auto& use = use_[rpc->terms.customer];
-    use.plan = rpc->terms.plan;
-    use.units += rpc->terms.units;
-    ++use.rpcs;
+  if (rpc->attempts == 0) {
+    if (const auto use = use_.find(rpc->terms.customer); use != use_.end())
+      use->second.units += rpc->terms.units;
   }
   rpc->out = true;
   ++counters_.attempts_sent;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -99,10 +99,12 @@
   void turn();  // one step of the module, with all that has happened since the last
 
   std::size_t in_flight() const { return unanswered_; }
-  // Units sent on by customer since the start, for the console.
+  // What customers have asked for, and units sent on, for the console; the last ones only where they are
+  // many.
   struct Use {
     std::string plan;
     double units = 0;
+    RpcId last = 0;
     std::uint64_t rpcs = 0, unavailable = 0;
   };
   const std::map<std::string, Use>& use() const { return use_; }
@@ -126,6 +128,7 @@
   Rpc* find(const std::string& id, RpcId& number);
   void finish(RpcId id, Rpc& rpc, FinalAnswer&& answer);
   void drop_if_over(RpcId id);
+  void count_use(const RpcTerms& terms);
   void carry_out(const cranemux::Action& action);
   void send(const cranemux::Send& send);
   void guard_deadlines(Clock::time_point now);
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -16,7 +16,7 @@
   Count attempts_sent = 0, attempts_ok = 0, attempts_error = 0, attempts_full = 0, attempts_timeout = 0;
   Count attempts_connect_failed = 0, attempts_reset = 0, attempts_cancelled = 0, attempts_moot = 0;
   Count attempts_spoilt = 0, attempts_overfull = 0, attempts_no_room = 0;
-  Count worker_connections = 0;
+  Count worker_connections = 0, customers_forgotten = 0;
   Count peer_sent = 0, peer_received = 0, peer_dropped = 0;
   Count reloads = 0, reloads_rejected = 0;
   Count resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
@@ -52,6 +52,7 @@
     visit("attempts_overfull", attempts_overfull);
     visit("attempts_no_room", attempts_no_room);
     visit("worker_connections", worker_connections);
+    visit("customers_forgotten", customers_forgotten);
     visit("peer_sent", peer_sent);
     visit("peer_received", peer_received);
     visit("peer_dropped", peer_dropped);
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -2,6 +2,7 @@
 #include "cranemux/brain.h"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <cmath>
 #include <map>
@@ -557,6 +558,39 @@
   EXPECT_NE(cancelled, "");
 }
 
+// Customers, budgets and servers that come once must not be kept for ever: a module that grew by some hundred
+// bytes for each would run out of its 32 MB in a day.
+TEST(Growth, WhatComesOnceIsForgotten) {
+  auto settings = lone_door();
+  Door door(settings);
+  const auto live = [&](int from, int to) {
+    for (int i = from; i < to; ++i) {
+      door.run(door.now + 50 * kMs);
+      auto request = door.request("r" + std::to_string(i), "rate", "look", "c" + std::to_string(i));
+      request.budget = (1000 + i) * kMs;
+      const auto before = door.sends.size();
+      std::vector<Event> events{request};
+      if (i % 20 == 0) {
+        auto left = server("s" + std::to_string(i / 20 - 2));
+        left.state = ServerState::gone;
+        events.push_back(ServerList{ListScope::changes, {left, server("s" + std::to_string(i / 20))}});
+      }
+      door.feed(events);
+      for (std::size_t k = before; k < door.sends.size(); ++k) {
+        door.feed({door.outcome(door.sends[k].request, Result::ok)});
+      }
+    }
+    door.sends.clear();
+    door.sends.shrink_to_fit();
+    door.refused.clear();
+    return mallinfo2().uordblks;
+  };
+  live(0, 6000);  // 300 s
+  const auto half = live(6000, 12000);
+  const auto whole = live(12000, 18000);
+  EXPECT_LT(whole, half + 100'000);
+}
+
 TEST(Events, UnknownOnesAreIgnored) {
   Door door(base_settings());
   const auto actions =
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -3,12 +3,13 @@
 // A line is a step. `open A` opens a channel; `accept W` and `accept D` take a connection at the worker or at
 // discovery. `A> text` sends and `A< text` expects bytes, with escapes as in C for carriage return, line end
 // and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A reset`
-// breaks off, `A end` expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql`
-// starts the program, with a third word `ops` also with console (`open C`), Graphite (`accept G`) and
-// collectd (`accept K`), and `crowd 20` opens so many idle channels, `few 40` before `serve` limits the
-// program's descriptors, and `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit`
-// expects a clean end. `reload E` writes a configuration whose discovery is at `E` (`accept E`), `reload bad`
-// one that is faulty; then SIGHUP.
+// breaks off, `strangers 9` sends so many requests of customers never seen, each with no time left, `A end`
+// expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
+// with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
+// `crowd 20` opens so many idle channels, `few 40` before `serve` limits the program's descriptors, and
+// `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
+// `reload E` writes a configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty;
+// then SIGHUP.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
@@ -171,6 +172,22 @@
     return -1;
   }
 
+  void strangers(int count) {
+    fds_["S"] = connect();
+    for (int i = 1; i <= count; ++i) {
+      char cookie[20];
+      std::snprintf(cookie, sizeof cookie, "%016x", static_cast<unsigned>(i));
+      pending_ = "S>";
+      text_ = "GET /api HTTP/1.1\r\nReq-Id: s" + std::to_string(i) +
+              "\r\nReq-Kind: job-status\r\nX-Tier: corner\r\n" + "Cookie: client=" + cookie +
+              "\r\nReq-Deadline-Ms: 0\r\nX-Call-Terms: units=1\r\n\r\n";
+      flush();
+      pending_ = "S<";
+      text_ = "HTTP/1.1 429 Too Many Requests\r\n*\r\n\r\n";
+      flush();
+    }
+  }
+
   int connect_console() {
     const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto at = local(console_);
@@ -190,6 +207,8 @@
       for (int i = std::stoi(b); i > 0; --i) {
         if (connect() < 0) fail("cannot connect");
       }
+    } else if (a == "strangers") {
+      strangers(std::stoi(b));
     } else if (a == "serve") {
       serve(b, line.ends_with(" ops"));
     } else if (a == "open") {
