Keep idle channels within a budget, so that clients that keep theirs bar no others

Idle and waiting channels together stood at exactly 128 for seconds, and tries for which no channel could be opened never arrived. Neither credits nor the order of eviction were at fault.

Time limits, eviction order and the budget are decided in a file free of I/O, with table tests; an exchange shows the oldest go and the others served.

--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -13,40 +13,10 @@
 
 constexpr milliseconds kAcceptPause{20};  // where there is no room at all, or descriptors have run out
 constexpr milliseconds kSweep{100};
-constexpr milliseconds kSilent{2000};       // for the first byte of the first request, and idle in a crowd
-constexpr milliseconds kReading{2500};      // for a whole request; for the first one, from the connection on
-constexpr milliseconds kIdle{30'000};       // between requests, while there is room
-constexpr milliseconds kWriting{3000};      // for a client to take its answer
-constexpr milliseconds kLeaving{1000};      // for a client to end its side after its last answer
-constexpr milliseconds kFresh{250};         // a client that means well has sent its request by then
-constexpr std::size_t kMostAhead = 16'384;  // sent on while it waits for an answer
+constexpr milliseconds kLeaving{1000};               // the rest of a flood after the last answer
+constexpr std::size_t kMostAhead = 16'384;           // sent on while it waits for an answer
 constexpr std::size_t kMostDiscarded = 1024 * 1024;  // of what comes after the last answer
 
-milliseconds limit_of(State state, bool crowded) {
-  switch (state) {
-    case State::silent:
-      return kSilent;
-    case State::reading:
-      return kReading;
-    case State::waiting:
-      return std::chrono::hours(24);  // the core answers in time
-    case State::writing:
-      return kWriting;
-    case State::idle:
-      return crowded ? kSilent : kIdle;
-    case State::leaving:
-      return kLeaving;
-  }
-  return kIdle;
-}
-
-// Which goes first where room is short: those done with, those that dawdle, those between requests, the rest.
-int rank_of(State state, net::Clock::duration age) {
-  if (state == State::leaving) return 0;
-  if (state == State::idle) return 2;
-  return age > kFresh ? 1 : 3;
-}
-
 }  // namespace
 
 HttpChannel::HttpChannel(net::tcp::socket socket, ChannelServer& server)
@@ -210,6 +180,20 @@
 }
 
 // Ends the sending; the client's end, or the time limit, ends the reading.
+void HttpChannel::place() {
+  const auto now = state();
+  const bool busy = !left_ && (now == State::waiting || now == State::writing);
+  const bool idle = !left_ && now == State::idle;
+  if (busy != std::exchange(in_busy_, busy)) server_.busy_ += busy ? 1 : -1;
+  if (idle == in_idle_) return;
+  in_idle_ = idle;
+  if (idle) {
+    idle_at_ = server_.idle_.insert(server_.idle_.end(), this);
+  } else {
+    server_.idle_.erase(idle_at_);
+  }
+}
+
 void HttpChannel::shut() {
   boost::system::error_code ignored;
   socket_.shutdown(net::tcp::socket::shutdown_send, ignored);
@@ -221,10 +205,14 @@
   boost::system::error_code ignored;
   socket_.close(ignored);
   server_.bytes_ -= std::exchange(counted_, 0);
+  place();
   server_.left(this);
 }
 
 void HttpChannel::counted() {
+  if (broken_) return;
+  place();
+  server_.keep_idle_budget();
   if (broken_) return;
   server_.bytes_ -= counted_;
   counted_ = bytes();
@@ -242,6 +230,7 @@
   if ((now != State::idle && now != State::silent) || unread()) return;
   last_ = true;
   since_ = net::Clock::now();
+  place();
   shut();
 }
 
@@ -285,7 +274,8 @@
       front_(front),
       core_(core),
       logger_(logger),
-      counters_(counters) {
+      counters_(counters),
+      idle_budget_(limits.sockets) {
   const auto at = net::endpoint<net::tcp>(listen);
   acceptor_.open(at.protocol());
   acceptor_.set_option(net::tcp::acceptor::reuse_address(true));
@@ -310,7 +300,7 @@
   for (auto* channel : channels_) {
     const auto state = channel->state();
     if (state == State::waiting || state == State::writing) continue;
-    candidates.emplace_back(rank_of(state, now - channel->since()), channel->since(), channel);
+    candidates.emplace_back(eviction_rank(state, now - channel->since()), channel->since(), channel);
   }
   std::sort(candidates.begin(), candidates.end());
   return std::any_of(candidates.begin(), candidates.end(),
@@ -330,6 +320,16 @@
   }
 }
 
+// Those idle for longest go first; one on which something has come is about to be busy.
+void ChannelServer::keep_idle_budget() {
+  auto surplus = idle_budget_.surplus(idle_.size(), busy_);
+  for (auto at = idle_.begin(); surplus > 0 && at != idle_.end(); --surplus) {
+    auto* channel = *at++;
+    channel->close_between_requests();
+    if (channel->state() != State::idle) ++counters_.channels_over_idle_budget;
+  }
+}
+
 void ChannelServer::left(HttpChannel* channel) {
   if (channels_.erase(channel) > 0 && full_) pause_.cancel();
 }
@@ -342,7 +342,7 @@
     const bool crowded = channels_.size() > limits_.channels / 2;
     for (auto* channel : channels()) {
       // None of those that follow is gone: only what times out itself leaves.
-      if (now - channel->since() >= limit_of(channel->state(), crowded)) channel->time_out();
+      if (now - channel->since() >= time_limit(channel->state(), crowded)) channel->time_out();
     }
   }
 }
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "front/channel_policy.h"
 #include "http/http.h"
 #include "net/net.h"
 
@@ -34,8 +36,7 @@
   void answer(core::RpcId rpc, core::FinalAnswer&& answer) override;
   void close_between_requests();
 
-  // What the channel is doing: each but `waiting` has its time limit.
-  enum class State { silent, reading, waiting, writing, idle, leaving };
+  using State = ChannelState;
   State state() const;
   net::Clock::time_point since() const { return since_; }  // this state began
   std::size_t bytes() const { return in_.capacity() + out_.capacity() + body_; }
@@ -52,6 +53,7 @@
   void shut();
   void counted();
   bool unread();  // something has come that is not read yet
+  void place();   // where the server counts it: among the busy, the idle or neither
   void resume();
 
   net::tcp::socket socket_;
@@ -60,6 +62,8 @@
   std::size_t need_ = 0, sent_ = 0, discarded_ = 0;
   std::size_t body_ = 0;     // of the RPC in flight
   std::size_t counted_ = 0;  // bytes that the server knows of
+  std::list<HttpChannel*>::iterator idle_at_;
+  bool in_idle_ = false, in_busy_ = false;
   core::RpcId rpc_ = 0;
   std::shared_ptr<void> context_;  // the front's own, for the answer
   net::Clock::time_point since_ = net::Clock::now();
@@ -84,6 +88,7 @@
 };
 
 struct ChannelLimits {
+  std::size_t sockets = 1024;  // descriptors of the whole process
   std::size_t channels = 600;
   std::size_t bytes = 16 * 1024 * 1024;  // that all channels together may hold
 };
@@ -104,6 +109,7 @@
   net::awaitable<void> sweep();
   bool make_room();
   void make_memory();
+  void keep_idle_budget();
   void left(HttpChannel* channel);
   std::vector<HttpChannel*> channels() const { return {channels_.begin(), channels_.end()}; }
 
@@ -117,7 +123,10 @@
   metrics::Counters& counters_;
   std::array<char, 16 * 1024> piece_{};  // what a channel has just read
   std::unordered_set<HttpChannel*> channels_;
-  std::size_t bytes_ = 0;  // held by all channels
+  const IdleBudget idle_budget_;
+  std::list<HttpChannel*> idle_;  // longest idle first
+  std::size_t busy_ = 0;          // with an RPC, or with an answer that is not written yet
+  std::size_t bytes_ = 0;         // held by all channels
   bool draining_ = false, full_ = false;
 };
 
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -16,7 +16,7 @@
 
 // A quarter of the memory for what channels hold; calls to workers may hold as much.
 front::ChannelLimits channel_limits_of(const config::Config& config) {
-  return {config.sockets * 6 / 10, config.memory_mb * 1024 * 1024 / 4};
+  return {config.sockets, config.sockets * 6 / 10, config.memory_mb * 1024 * 1024 / 4};
 }
 
 config::Config with_graphql(config::Config config, const std::optional<front::GraphqlConfig>& graphql) {
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -9,7 +9,7 @@
 struct Counters {
   using Count = std::uint64_t;
   Count channels_opened = 0, accept_failures = 0, bad_requests = 0;
-  Count channels_idle_closed = 0, channels_cut = 0, channels_evicted = 0;
+  Count channels_idle_closed = 0, channels_cut = 0, channels_evicted = 0, channels_over_idle_budget = 0;
   Count requests_timed_out = 0, requests_no_memory = 0;
   Count rpcs_taken = 0, rpcs_served = 0, rpcs_unavailable = 0, rpcs_failed = 0, rpcs_abandoned = 0;
   Count deadline_guards = 0;  // answered by the core since the module had not
@@ -31,6 +31,7 @@
     visit("channels_idle_closed", channels_idle_closed);
     visit("channels_cut", channels_cut);
     visit("channels_evicted", channels_evicted);
+    visit("channels_over_idle_budget", channels_over_idle_budget);
     visit("requests_timed_out", requests_timed_out);
     visit("requests_no_memory", requests_no_memory);
     visit("rpcs_taken", rpcs_taken);
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -6,10 +6,10 @@
 // breaks off, `strangers 9` sends so many requests of customers never seen, each with no time left, `A end`
 // expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
 // with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
-// `crowd 20` opens so many idle channels, `few 40` before `serve` limits the program's descriptors, and
-// `refuse` before it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end.
-// `reload E` writes a configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty;
-// then SIGHUP.
+// `crowd 20` opens so many silent channels, `idle 20` so many that have had an answer, `sockets 64` before
+// `serve` sets limits.sockets, `few 40` before `serve` limits the program's descriptors, and `refuse` before
+// it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end. `reload E` writes a
+// configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty; then SIGHUP.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
@@ -188,6 +188,16 @@
     }
   }
 
+  void answered_once() {
+    fds_["I"] = connect();
+    pending_ = "I>";
+    text_ = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    flush();
+    pending_ = "I<";
+    text_ = "HTTP/1.1 200 OK\r\n*\r\n\r\nok\n";
+    flush();
+  }
+
   int connect_console() {
     const int fd = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto at = local(console_);
@@ -207,6 +217,10 @@
       for (int i = std::stoi(b); i > 0; --i) {
         if (connect() < 0) fail("cannot connect");
       }
+    } else if (a == "idle") {
+      for (int i = std::stoi(b); i > 0; --i) answered_once();
+    } else if (a == "sockets") {
+      limits_ = "\"limits\":{\"sockets\":" + b + "},";
     } else if (a == "strangers") {
       strangers(std::stoi(b));
     } else if (a == "serve") {
@@ -274,7 +288,7 @@
     Listener free;
     port_ = free.shut();
     if (worker_port_ == 0) worker_port_ = worker_.port;
-    configure(discovery_.port, "");
+    configure(discovery_.port, limits_);
     std::ofstream(folder_ + "-graphql.json") << "{\"listen\":" << here(port_) << ",\"servers\":["
                                              << here(worker_port_) << "],\"fields\":" << kFields << "}";
     child_ = ::fork();
@@ -324,7 +338,7 @@
   pid_t child_ = 0;
   std::map<std::string, int> fds_;
   std::map<std::string, std::string> got_;
-  std::string pending_, text_, console_;
+  std::string pending_, text_, console_, limits_;
 };
 
 }  // namespace
