--- /dev/null
+++ b/bench/many_pools.cpp
@@ -0,0 +1,75 @@
+// Many pools and routes in one program: its memory, the time of a reload, and what an RPC takes. Usage:
+// many_pools PROGRAM [POOLS] [ROUTES] [RPCS]
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "testing/rig.h"
+
+namespace {
+
+using namespace cranemux::testing;
+
+double cpu_s(pid_t pid) {
+  std::FILE* in = std::fopen(("/proc/" + std::to_string(pid) + "/stat").c_str(), "r");
+  unsigned long user = 0, system = 0;
+  const int got =
+      in ? std::fscanf(in, "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system) : 0;
+  if (in) std::fclose(in);
+  return got == 2 ? static_cast<double>(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)) : 0;
+}
+
+void arrange(Rig& rig, int pools, int routes) {
+  rig.file.pools.clear();
+  rig.file.routes.clear();
+  for (int i = 0; i < pools; ++i)
+    rig.file.pools["pool" + std::to_string(i)] = "nodes: [@n" + std::to_string(i % 4) + "]";
+  for (int i = 0; i < routes; ++i) {
+    rig.file.routes.push_back("host: s" + std::to_string(i) + ".example.org, path: /api, pool: pool" +
+                              std::to_string(i % pools));
+  }
+}
+
+void measure(Rig& rig, int rpcs, int routes) {
+  Client client(rig.stage, rig.port);
+  const auto before = cpu_s(rig.program->pid());
+  client.pace(1000, milliseconds(rpcs), [&](std::size_t i) {
+    Ask ask;
+    ask.host = "s" + std::to_string(i * 7919 % static_cast<std::size_t>(routes)) + ".example.org";
+    ask.target = "/api/x";
+    char text[20];
+    std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(i % 500));
+    ask.customer = text;
+    return ask;
+  });
+  client.finish();
+  std::printf("rpcs %d served %zu, cpu us an rpc %.0f, p50 %.2f ms p99 %.2f ms, memory %ld KiB\n", rpcs,
+              client.count(200), (cpu_s(rig.program->pid()) - before) * 1e6 / rpcs,
+              percentile_ms(client.results(), 0.5), percentile_ms(client.results(), 0.99),
+              rig.program->resident_kb());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) return 2;
+  const int pools = argc > 2 ? std::atoi(argv[2]) : 200, routes = argc > 3 ? std::atoi(argv[3]) : 10'000;
+  const int rpcs = argc > 4 ? std::atoi(argv[4]) : 20'000;
+  for (const auto& [p, r] : {std::pair{1, 1}, std::pair{pools, routes}}) {
+    Rig rig(argv[1]);
+    arrange(rig, p, r);
+    const auto start = Clock::now();
+    rig.start();
+    const std::chrono::duration<double, std::milli> up = Clock::now() - start;
+    std::printf("%d pools, %d routes: ready after %.0f ms, memory %ld KiB\n", p, r, up.count(),
+                rig.program->resident_kb());
+    measure(rig, rpcs, r);
+    rig.file.pools["one-more"] = "nodes: [@n0]";
+    const auto at = Clock::now();
+    rig.reload();
+    const std::chrono::duration<double, std::milli> took = Clock::now() - at;
+    std::printf("reload with one pool more: %.0f ms from the signal to the counter\n", took.count());
+  }
+  return 0;
+}
--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -68,9 +68,10 @@
   std::string zone;
   std::vector<ClassSettings> classes;
   std::vector<PlanSettings> plans;
-  double most_units = 1;           // the most that one request counts for
-  bool settles = false;            // told units are a guess; Outcome::settled_units brings the true ones
-  double peer_messages_per_s = 0;  // that one front door takes in
+  double most_units = 1;            // the most that one request counts for
+  bool settles = false;             // told units are a guess; Outcome::settled_units brings the true ones
+  double peer_messages_per_s = 0;   // that one front door takes in
+  std::size_t message_bytes = 256;  // the most that one of them may hold
   bool peers = false;
   bool probes = false;
   bool cancel = false;
@@ -197,6 +198,9 @@
 class Brain {
  public:
   explicit Brain(const Settings& settings);  // std::invalid_argument if they make no sense
+  // Holds the quotas of customers together with `shares`, which must have equal plans: each has requests and
+  // servers of its own. One clock for both. Peer messages about these quotas go to either.
+  Brain(const Settings& settings, const Brain& shares);
   ~Brain();
   Brain(Brain&&) noexcept;
   Brain& operator=(Brain&&) noexcept;
--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -14,10 +14,18 @@
 
 }  // namespace
 
-Attempts::Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits, metrics::Logger& logger,
+Attempts::Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits,
+                   pool::Purse& connections, std::function<bool()> reclaim, metrics::Logger& logger,
                    metrics::Counters& counters)
-    : io_(io), core_(core), limits_(limits), logger_(logger), counters_(counters), sweeper_(io) {
-  net::spawn(io_, logger_, "connection sweep", sweep());
+    : io_(io),
+      core_(core),
+      limits_(limits),
+      logger_(logger),
+      counters_(counters),
+      sweeper_(io),
+      connections_(connections),
+      reclaim_(std::move(reclaim)) {
+  scope_.spawn(io_, logger_, "connection sweep", sweep());
 }
 
 Attempts::~Attempts() = default;
@@ -42,7 +50,6 @@
         entry.state != "left" && (entry.since != was.since || entry.address.host != was.address.host ||
                                   entry.address.port != was.address.port);
     if (moved) {  // connections to the process before it lead nowhere
-      connections_ -= worker->idle.size();
       worker->idle.clear();
       ++worker->generation;
     }
@@ -59,10 +66,8 @@
 
 void Attempts::forget_left() {
   std::erase_if(workers_, [&](const auto& item) {
-    auto& worker = *item.second;
-    if (worker.entry.state != "left" || worker.busy > 0) return false;
-    connections_ -= worker.idle.size();
-    return true;
+    const auto& worker = *item.second;
+    return worker.entry.state == "left" && worker.busy == 0;
   });
 }
 
@@ -85,7 +90,7 @@
   const auto found = workers_.find(worker);
   if (found != workers_.end()) call->worker = found->second;
   calls_[rpc] = call;
-  net::spawn(io_, logger_, "call attempt", run(std::move(call)));
+  scope_.spawn(io_, logger_, "call attempt", run(std::move(call)));
 }
 
 void Attempts::cancel(core::RpcId rpc, int attempt) {
@@ -136,7 +141,6 @@
         call->worker->idle.push_back(std::move(call->connection));
       } else {
         call->connection.reset();
-        --connections_;
       }
     }
   }
@@ -155,33 +159,41 @@
     const auto got = ::recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     const bool quiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     if (quiet && connection->idle_since > oldest) return connection;
-    --connections_;
   }
   return nullptr;
 }
 
-// True if one more connection may be opened: closes the one that has been idle longest if there must be.
-bool Attempts::make_room() {
-  if (connections_ < limits_.connections) return true;
+bool Attempts::close_oldest_idle() {
   Worker* oldest = nullptr;
   for (auto& [name, worker] : workers_) {
     if (worker->idle.empty()) continue;
     if (!oldest || worker->idle.front()->idle_since < oldest->idle.front()->idle_since) oldest = worker.get();
   }
-  if (!oldest) return false;
-  oldest->idle.pop_front();
-  --connections_;
-  return true;
+  if (oldest) oldest->idle.pop_front();
+  return oldest != nullptr;
+}
+
+void Attempts::stop() {
+  sweeper_.cancel();
+  for (auto& [name, worker] : workers_) worker->idle.clear();
+}
+
+// One more connection, if there may be: an idle one goes for it if there must be, an own one first.
+pool::Lease Attempts::make_room() {
+  auto lease = connections_.take();
+  if (!lease && (close_oldest_idle() || reclaim_())) lease = connections_.take();
+  return lease;
 }
 
 net::awaitable<bool> Attempts::open(Call& call) {
-  if (!make_room()) {
+  auto lease = make_room();
+  if (!lease) {
     ++counters_.attempts_no_room;
     logger_.log(metrics::Level::debug, "no room for a connection to ", call.worker->entry.name);
     call.no_room = true;
     co_return false;
   }
-  call.connection.reset(new Connection{net::tcp::socket(io_), {}, {}});
+  call.connection.reset(new Connection{net::tcp::socket(io_), {}, {}, std::move(lease)});
   auto& socket = call.connection->socket;
   boost::system::error_code error;
   const auto target = net::endpoint<net::tcp>(call.worker->entry.address);
@@ -192,7 +204,6 @@
     call.no_room = true;
     co_return false;
   }
-  ++connections_;
   ++counters_.worker_connections;
   socket.set_option(net::tcp::no_delay(true), error);
   std::tie(error) = co_await socket.async_connect(target, net::kResult);
@@ -272,7 +283,6 @@
     for (auto& [name, worker] : workers_) {
       while (!worker->idle.empty() && worker->idle.front()->idle_since < oldest) {
         worker->idle.pop_front();
-        --connections_;
       }
     }
   }
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "http/http.h"
 #include "net/net.h"
+#include "pool/budget.h"
 
 namespace cranemux::attempt {
 
@@ -23,13 +24,14 @@
 
 struct Limits {
   std::chrono::nanoseconds connect_timeout{}, connection_idle{}, drain_grace{};
-  std::size_t connections = 256;
 };
 
 class Attempts : public core::CallAttempts {
  public:
-  Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits, metrics::Logger& logger,
-           metrics::Counters& counters);
+  // Connections are leased from `connections`, which may lend what others do not use. `reclaim` asks them for
+  // one.
+  Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits, pool::Purse& connections,
+           std::function<bool()> reclaim, metrics::Logger& logger, metrics::Counters& counters);
   ~Attempts() override;
 
   void resolved(const config::ResolverResult& result, bool whole);
@@ -44,11 +46,16 @@
   };
   std::map<std::string, Node> nodes() const;
 
+  bool close_oldest_idle();  // false: none is idle
+  void stop();               // once no call is out: closes all; may go when idle()
+  bool idle() const { return calls_.empty() && scope_.empty(); }
+
  private:
   struct Connection {
     net::tcp::socket socket;
     std::string buffer;
     net::Clock::time_point idle_since;
+    pool::Lease lease;
   };
   struct Worker {
     config::ListEntry entry;
@@ -78,7 +85,7 @@
   core::AttemptResult broken(const Call& call) const;
   void limit(const std::shared_ptr<Call>& call, net::Clock::time_point at);
   void close(Call& call, Stop stop);
-  bool make_room();
+  pool::Lease make_room();
   void forget_left();
   net::awaitable<void> sweep();
 
@@ -90,7 +97,9 @@
   std::unordered_map<std::string, std::shared_ptr<Worker>> workers_;
   std::unordered_map<core::RpcId, std::shared_ptr<Call>> calls_;
   net::asio::steady_timer sweeper_;
-  std::size_t connections_ = 0;
+  pool::Purse& connections_;
+  const std::function<bool()> reclaim_;
+  net::Scope scope_;
 };
 
 }  // namespace cranemux::attempt
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,7 +33,6 @@
 constexpr double kWeightScale = 100;           // T*V/K is this many times the largest request
 constexpr double kWeightSteps = 16;            // weights travel in steps of 1/16
 constexpr double kLevelSteps = 100;            // ledger levels travel in 100ths of the burst
-constexpr std::size_t kMessageBytes = 256;     // the most one message may hold
 constexpr double kMailShare = 0.6;             // a gateway sends this share of the messages that one takes in
 constexpr int kBudgetsSeen = 3;                // tries with one budget, to the ms, before it tells anything
 constexpr double kOtherZone = 1.15;            // a server in another zone must be this much better
@@ -149,15 +148,35 @@
 
 }  // namespace
 
+// Quotas and the mail about them: of one Brain, or of several in a process that hold them together.
+struct Books {
+  std::vector<PlanSettings> plans;
+  std::uint32_t life = 0;
+  std::map<std::uint32_t, Account> accounts;
+  std::map<std::uint32_t, Ledger> ledgers;
+  std::set<std::uint32_t> busy;  // accounts with something to ask or tell
+  std::vector<Peer> peers;
+  std::deque<int> posts;  // peers with mail, longest waiting first
+  double stamps = 1;      // messages that may go now
+  Nanos started = -1, posted = 0, heard = 0;
+};
+
 class Brain::Impl {
  public:
-  explicit Impl(const Settings& settings) : s_(settings), random_(settings.seed) {
+  explicit Impl(const Settings& settings, std::shared_ptr<Books> books = nullptr)
+      : s_(settings), random_(settings.seed), books_(books ? books : std::make_shared<Books>()) {
     check(settings);
-    life_ = static_cast<std::uint32_t>(random_() & 0xffffU);
-    peers_.resize(static_cast<std::size_t>(s_.gateways));
+    if (!books) {
+      books_->plans = s_.plans;
+      life_ = static_cast<std::uint32_t>(random_() & 0xffffU);
+      peers_.resize(static_cast<std::size_t>(s_.gateways));
+    }
+    if (plans_ != s_.plans) throw std::invalid_argument("cranemux: shared quotas need equal plans");
     fresh_.window = std::max(kWindowLeast, kWindowFirst / s_.gateways);
   }
 
+  const std::shared_ptr<Books>& books() const { return books_; }
+
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
     now_ = now;
     actions_ = &actions;
@@ -199,7 +218,7 @@
   }
 
   void open_account(Account& a, const Request& request) {
-    for (const auto& plan : s_.plans) {
+    for (const auto& plan : plans_) {
       if (plan.name == request.plan) a.plan = &plan;
     }
     if (!a.plan) return;  // a plan that the settings do not name has no quota: refused
@@ -412,7 +431,7 @@
   void write(int to, Kind kind, const PlanSettings& plan, std::uint32_t hash,
              std::initializer_list<std::uint64_t> values) {
     if (!s_.peers) return;
-    std::string entry(1, static_cast<char>(kind | static_cast<unsigned>(&plan - s_.plans.data()) << 2U));
+    std::string entry(1, static_cast<char>(kind | static_cast<unsigned>(&plan - plans_.data()) << 2U));
     for (unsigned shift = 0; shift < 32; shift += 8) entry += static_cast<char>(hash >> shift & 255U);
     for (const auto value : values) put(entry, value);
     auto& mail = peers_[static_cast<std::size_t>(to)].mail;
@@ -420,7 +439,7 @@
       posts_.push_back(to);
       mail = {static_cast<char>(kVersion), static_cast<char>(life_ & 255U), static_cast<char>(life_ >> 8U)};
     }
-    if (mail.size() + entry.size() <= kMessageBytes) mail += entry;  // what is lost is asked again
+    if (mail.size() + entry.size() <= s_.message_bytes) mail += entry;  // what is lost is asked again
   }
 
   // Entries go at once while messages are few; then they wait and share one, so that no gateway is sent
@@ -456,9 +475,9 @@
       for (int i = 0; i < (kind == kAsk ? 4 : 3); ++i) {
         if (!get(in, at, v[i])) return;
       }
-      if (plan >= s_.plans.size() || *std::max_element(v, v + 3) > kSaneFigure) return;
+      if (plan >= plans_.size() || *std::max_element(v, v + 3) > kSaneFigure) return;
       if (kind == kAsk)
-        keep(message.from, life, hash, s_.plans[plan], static_cast<std::int64_t>(v[0]), v[1], v[2], v[3]);
+        keep(message.from, life, hash, plans_[plan], static_cast<std::int64_t>(v[0]), v[1], v[2], v[3]);
       const auto a = accounts_.find(hash);
       if (kind == kGrant && v[0] == life_ && a != accounts_.end())
         granted(a->second, static_cast<std::int64_t>(v[1]), v[2]);
@@ -493,14 +512,14 @@
     // A customer far beyond its quota must not flood its keeper: while D is gone its gateways together ask
     // no more than that takes in.
     const auto fair = static_cast<Nanos>(a.spread * kSecond / (kMailShare * s_.peer_messages_per_s + 1));
-    const bool floods = a.plan->rate * kSpike > kMailShare * s_.peer_messages_per_s;
+    int keeper = keeper_of(a);
+    const bool floods = keeper != s_.index && a.plan->rate * kSpike > kMailShare * s_.peer_messages_per_s;
     const auto spent = floods && a.level < 1 ? std::min(fair, kHoldBound) : 0;
     const auto fresh = a.held_units > a.asked_units ? spent : std::max(spent, kSubperiod);
     if (now_ - a.asked < (!waits       ? fresh
                           : a.held > 0 ? kAskPatience << std::clamp(a.misses - kAskTries + 1, 0, 3)
                                        : kSecond))
       return;
-    int keeper = keeper_of(a);
     if (!waits) a.misses = 0;
     if (waits && ++a.misses >= kAskTries && keeper >= 0 && keeper != s_.index) {
       peers_[static_cast<std::size_t>(keeper)].shunned_until = now_ + kShun;  // or until it is heard
@@ -924,11 +943,10 @@
 
   void start() {
     started_ = true;
-    started_at_ = heard_at_ = now_;
+    if (started_at_ < 0) started_at_ = heard_at_ = posted_ = now_;
     next_split_ = (now_ / kSubperiod + 1) * kSubperiod;
     last_tick_ = refilled_ = now_;
     if (s_.list_on_request) act(Watch{});
-    posted_ = now_;
   }
 
   void tick() {
@@ -979,22 +997,24 @@
 
   const Settings s_;
   std::mt19937_64 random_;
-  std::uint32_t life_ = 0;
+  const std::shared_ptr<Books> books_;
+  const std::vector<PlanSettings>& plans_ = books_->plans;
+  std::uint32_t& life_ = books_->life;
+  std::map<std::uint32_t, Account>& accounts_ = books_->accounts;
+  std::map<std::uint32_t, Ledger>& ledgers_ = books_->ledgers;
+  std::set<std::uint32_t>& busy_ = books_->busy;
+  std::vector<Peer>& peers_ = books_->peers;
+  std::deque<int>& posts_ = books_->posts;
+  double& stamps_ = books_->stamps;
+  Nanos &started_at_ = books_->started, &posted_ = books_->posted, &heard_at_ = books_->heard;
   Nanos now_ = 0;
   std::vector<Action>* actions_ = nullptr;
   bool started_ = false;
   bool idle_ = false;
-  bool pressed_ = false;   // no server had room for a held request at the last look
-  bool freed_ = false;     // credits have come since the last look at held requests
-  std::deque<int> posts_;  // peers with mail, longest waiting first
-  double stamps_ = 1;      // messages that may go now
-  Nanos started_at_ = 0, posted_ = 0, heard_at_ = 0;
+  bool pressed_ = false;  // no server had room for a held request at the last look
+  bool freed_ = false;    // credits have come since the last look at held requests
   Nanos next_split_ = 0, next_tick_ = 0, last_tick_ = 0, refilled_ = 0;
   double served_recently_ = 0, hedge_tokens_ = 0;
-  std::map<std::uint32_t, Account> accounts_;
-  std::map<std::uint32_t, Ledger> ledgers_;
-  std::set<std::uint32_t> busy_;  // accounts with something to ask or tell
-  std::vector<Peer> peers_;
   Server fresh_;
   std::vector<Server> servers_;
   std::map<std::string, std::map<Nanos, int>> budgets_;  // by class: tries that came with so many ms
@@ -1004,6 +1024,8 @@
 };
 
 Brain::Brain(const Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
+Brain::Brain(const Settings& settings, const Brain& shares)
+    : impl_(std::make_unique<Impl>(settings, shares.impl_->books())) {}
 Brain::~Brain() = default;
 Brain::Brain(Brain&&) noexcept = default;
 Brain& Brain::operator=(Brain&&) noexcept = default;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -32,6 +32,7 @@
   int cell = 0;
   double weight = 1;
   std::chrono::milliseconds since{};  // Unix time; 0: long ago
+  bool operator==(const ListEntry&) const = default;
 };
 struct ResolverResult {
   std::int64_t index = 0;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace cranemux::core {
@@ -9,6 +10,7 @@
 
 constexpr std::chrono::milliseconds kGuard{4};  // before the deadline, when the module has not answered
 constexpr std::size_t kMostCustomers = 1024;    // that the console's table keeps
+constexpr std::size_t kMostEvents = 512;        // taken up in one turn: other pools' turns come between
 
 template <class... Ts>
 struct Overloaded : Ts... {
@@ -19,8 +21,12 @@
 
 }  // namespace
 
-Core::Core(const cranemux::Settings& settings, metrics::Logger& logger, metrics::Counters& counters)
-    : settings_(settings), logger_(logger), counters_(counters), brain_(settings) {}
+Core::Core(const cranemux::Settings& settings, metrics::Logger& logger, metrics::Counters& counters,
+           Core* shares)
+    : settings_(settings),
+      logger_(logger),
+      counters_(counters),
+      brain_(shares ? cranemux::Brain(settings, shares->brain_) : cranemux::Brain(settings)) {}
 
 void Core::connect(CallAttempts& attempts, Peers& peers, Host& host) {
   attempts_ = &attempts;
@@ -106,7 +112,7 @@
                          result.result == Result::moot;
   rpc.may_have_run = rpc.may_have_run || !never_ran;
   if (result.result == Result::ok && rpc.channel) {
-    finish(id, rpc, {Ending::served, std::move(result.body), {}});
+    finish(id, rpc, {.ending = Ending::served, .body = std::move(result.body)});
   }
   cranemux::Outcome outcome;
   outcome.request = std::to_string(id);
@@ -133,7 +139,13 @@
     timers_.erase(timers_.begin());
   }
   if (!events_.empty()) {
-    std::swap(events_, stepping_);
+    if (events_.size() <= kMostEvents) {
+      std::swap(events_, stepping_);
+    } else {
+      const auto end = events_.begin() + kMostEvents;
+      stepping_.assign(std::make_move_iterator(events_.begin()), std::make_move_iterator(end));
+      events_.erase(events_.begin(), end);
+    }
     actions_.clear();
     brain_.step(std::chrono::duration_cast<nanoseconds>(now.time_since_epoch()).count(), stepping_, actions_);
     stepping_.clear();
@@ -152,7 +164,7 @@
     auto& rpc = rpcs_.at(id);
     ++counters_.deadline_guards;
     const bool harmless = !rpc.unsafe || (!rpc.may_have_run && !rpc.out);
-    finish(id, rpc, {harmless ? Ending::unavailable : Ending::failed, {}, {}});
+    finish(id, rpc, {.ending = harmless ? Ending::unavailable : Ending::failed});
     rpc.gone = true;
     events_.emplace_back(cranemux::Gone{std::to_string(id)});
     drop_if_over(id);
@@ -164,6 +176,8 @@
   if (answer.ending == Ending::unavailable) ++counters_.rpcs_unavailable;
   if (answer.ending == Ending::failed) ++counters_.rpcs_failed;
   if (answer.ending == Ending::unavailable) {
+    answer.out = rpc.out;
+    answer.left = rpc.guard - Clock::now();
     if (const auto use = use_.find(rpc.terms.customer); use != use_.end()) ++use->second.unavailable;
   }
   --unanswered_;
@@ -210,7 +224,7 @@
     if (!rpc || !rpc->channel) return;
     // What may have run is never called harmless to repeat.
     if (rpc->unsafe && (rpc->may_have_run || rpc->out)) ending = Ending::failed;
-    finish(id, *rpc, {ending, {}, nanoseconds(retry_after)});
+    finish(id, *rpc, {.ending = ending, .retry_after = nanoseconds(retry_after)});
     drop_if_over(id);
   };
   std::visit(Overloaded{
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -34,13 +34,16 @@
 // What call attempts carry to a worker: made by a front, read by the attempt layer only.
 struct Payload {
   virtual ~Payload() = default;
+  std::shared_ptr<void> lasts;  // stays while the RPC, or a call attempt of it, is at work
 };
 
 enum class Ending { served, unavailable, failed };
 struct FinalAnswer {
   Ending ending = Ending::failed;
-  std::string body;           // served: the worker's
+  std::string body = {};      // served: the worker's
   nanoseconds retry_after{};  // unavailable: when to come back
+  nanoseconds left{};         // unavailable: of the RPC's time
+  bool out = false;           // its call attempt may still be at work
 };
 
 // The client's side of an RPC. Called once for each RPC that the client has not left.
@@ -82,11 +85,14 @@
 
 class Core {
  public:
-  Core(const cranemux::Settings& settings, metrics::Logger& logger, metrics::Counters& counters);
+  // `shares`: a core whose customers' quotas this one shares, each with a module of its own.
+  Core(const cranemux::Settings& settings, metrics::Logger& logger, metrics::Counters& counters,
+       Core* shares = nullptr);
 
   void connect(CallAttempts& attempts, Peers& peers, Host& host);
   bool knows_class(const std::string& name) const;
   bool unsafe_class(const std::string& name) const;
+  bool safe_class(const std::string& name) const { return knows_class(name) && !unsafe_class(name); }
   nanoseconds patience_of(const std::string& klass) const;  // how long its clients wait, at most
   const cranemux::PlanSettings* plan(const std::string& name) const;
   const cranemux::Settings& settings() const { return settings_; }
@@ -98,7 +104,10 @@
   void peer_said(int from, std::string bytes);
   void turn();  // one step of the module, with all that has happened since the last
 
+  void forget_all() { rpcs_.clear(); }  // at the process's end: what is left has no answer
+
   std::size_t in_flight() const { return unanswered_; }
+  std::size_t known() const { return rpcs_.size(); }  // with those answered whose call attempt is still out
   // What customers have asked for, and units sent on, for the console; the last ones only where they are
   // many.
   struct Use {
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -64,7 +64,7 @@
       co_return;
     }
   }
-  if (waits_ && rpc_ != 0 && !broken_) server_.core_.abandoned(rpc_);
+  if (waits_ && rpc_ != 0 && !broken_) server_.front_.abandoned(rpc_, context_);
   broken_ = true;
   if (!writing_) cut();
 }
@@ -101,7 +101,7 @@
       ++server_.counters_.requests_no_memory;
       handled.reply = server_.front_.malformed(503);
     } else {
-      handled = server_.front_.request(message, shared_from_this());
+      handled = server_.front_.request({message, shared_from_this()});
     }
     in_.erase(0, message.size);
     if (in_.empty() || last_) std::string().swap(in_);
@@ -204,6 +204,7 @@
   if (std::exchange(left_, true)) return;
   boost::system::error_code ignored;
   socket_.close(ignored);
+  context_.reset();
   server_.bytes_ -= std::exchange(counted_, 0);
   place();
   server_.left(this);
@@ -264,15 +265,14 @@
 }
 
 ChannelServer::ChannelServer(net::asio::io_context& io, const config::Address& listen,
-                             const ChannelLimits& limits, Front& front, core::Core& core,
-                             metrics::Logger& logger, metrics::Counters& counters)
+                             const ChannelLimits& limits, Front& front, metrics::Logger& logger,
+                             metrics::Counters& counters)
     : io_(io),
       acceptor_(io),
       pause_(io),
       sweeper_(io),
       limits_(limits),
       front_(front),
-      core_(core),
       logger_(logger),
       counters_(counters),
       idle_budget_(limits.sockets) {
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -72,9 +72,18 @@
   bool paused_ = false;  // holds enough; reads on once it has answered
 };
 
+// A request as a front gets it.
+struct Incoming {
+  const http::Message& message;
+  std::shared_ptr<core::Channel> channel;
+  std::string_view target = {};       // as it is sent on, where that is not the message's
+  std::chrono::nanoseconds waited{};  // of its time, elsewhere
+  std::shared_ptr<void> lasts = {};   // stays while the RPC, or a call attempt of it, is at work
+};
+
 // What a front makes of a request: a reply at once, or an RPC made on the channel.
 struct Handled {
-  std::optional<Reply> reply;
+  std::optional<Reply> reply = {};
   core::RpcId rpc = 0;
   std::shared_ptr<void> context = {};
 };
@@ -82,9 +91,13 @@
 class Front {
  public:
   virtual ~Front() = default;
-  virtual Handled request(const http::Message& message, const std::shared_ptr<core::Channel>& channel) = 0;
+  virtual Handled request(const Incoming& incoming) = 0;
   virtual Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) = 0;
   virtual Reply malformed(int status) = 0;
+  virtual Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) = 0;
+  virtual void abandoned(core::RpcId rpc, const std::shared_ptr<void>& context) = 0;
+  // The class that a request belongs to, empty where it can't be told: for routes that go by it.
+  virtual std::string class_of(const http::Message& message) const = 0;
 };
 
 struct ChannelLimits {
@@ -96,7 +109,7 @@
 class ChannelServer {
  public:
   ChannelServer(net::asio::io_context& io, const config::Address& listen, const ChannelLimits& limits,
-                Front& front, core::Core& core, metrics::Logger& logger, metrics::Counters& counters);
+                Front& front, metrics::Logger& logger, metrics::Counters& counters);
   ~ChannelServer();
   void start();
   void drain();  // answers what is taken, closes channels between requests; still accepts
@@ -118,7 +131,6 @@
   net::asio::steady_timer pause_, sweeper_;
   const ChannelLimits limits_;
   Front& front_;
-  core::Core& core_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   std::array<char, 16 * 1024> piece_{};  // what a channel has just read
--- a/src/front/fields.h
+++ b/src/front/fields.h
@@ -33,6 +33,9 @@
 
 // Fills in customer, plan, set, budget (0: not told) and repeat. Returns what is wrong, or nothing.
 std::string read_caller(const http::Message& message, const core::Core& core, core::RpcTerms& terms);
+// The customer as the request names it, checked or not.
+std::string_view customer_of(const http::Message& message);
+bool is_health(std::string_view target);
 std::optional<double> read_units(const http::Message& message);
 
 // Whole seconds, or with three digits behind the point; nothing for no advice.
--- a/src/front/graphql/graphql.cpp
+++ b/src/front/graphql/graphql.cpp
@@ -129,6 +129,20 @@
   std::string_view type;
 };
 
+namespace {
+
+json::Value read_request(const http::Message& message) {
+  if (message.method == "GET") return from_query(message.target);
+  if (message.method != "POST") throw graphql::Error("METHOD_NOT_ALLOWED", "use POST or GET");
+  const auto type = message.field("Content-Type").value_or("");
+  if (!http::same_name(http::trim(type.substr(0, type.find(';'))), kOldType)) {
+    throw graphql::Error("UNSUPPORTED_MEDIA_TYPE", "requests are application/json");
+  }
+  return json::parse(message.body);
+}
+
+}  // namespace
+
 GraphqlFront::GraphqlFront(core::Core& core, GraphqlConfig config, metrics::Counters& counters)
     : core_(core), config_(std::move(config)), counters_(counters) {
   for (const auto& name : {config_.reading, config_.booking}) {
@@ -156,21 +170,21 @@
   return graphql::price(document, operation, variables, config_.costs, config_.limits);
 }
 
-Handled GraphqlFront::request(const http::Message& message, const std::shared_ptr<core::Channel>& channel) {
-  if (message.target == "/health/ready" || message.target == "/health/live") {
-    return {Reply{200, "ok\n", {}, "text/plain"}};
-  }
+Handled GraphqlFront::request(const Incoming& incoming) {
+  const auto& message = incoming.message;
+  if (is_health(message.target)) return {Reply{200, "ok\n", {}, "text/plain"}};
   const auto type = media_type(message);
   const auto reject = [&](int status, const std::string& code, const std::string& what) {
     ++counters_.graphql_rejected;
     return Handled{Reply{status, error_body(code, what), {}, type.value_or(kOldType)}};
   };
-  if (message.target.substr(0, message.target.find('?')) != config_.path) {
+  const auto target = incoming.target.empty() ? message.target : incoming.target;
+  if (target.substr(0, target.find('?')) != config_.path) {
     return reject(404, "NOT_FOUND", "GraphQL is at " + config_.path);
   }
   if (!type) return reject(406, "NOT_ACCEPTABLE", "answers are " + std::string(kNewType));
   try {
-    return take(message, channel);
+    return take(incoming);
   } catch (const json::Error& error) {
     return reject(400, "BAD_REQUEST", error.what());
   } catch (const graphql::Error& error) {
@@ -183,19 +197,9 @@
   }
 }
 
-Handled GraphqlFront::take(const http::Message& message, const std::shared_ptr<core::Channel>& channel) {
-  json::Value request;
-  if (message.method == "GET") {
-    request = from_query(message.target);
-  } else if (message.method == "POST") {
-    const auto type = message.field("Content-Type").value_or("");
-    if (!http::same_name(http::trim(type.substr(0, type.find(';'))), kOldType)) {
-      throw graphql::Error("UNSUPPORTED_MEDIA_TYPE", "requests are application/json");
-    }
-    request = json::parse(message.body);
-  } else {
-    throw graphql::Error("METHOD_NOT_ALLOWED", "use POST or GET");
-  }
+Handled GraphqlFront::take(const Incoming& incoming) {
+  const auto& message = incoming.message;
+  const auto request = read_request(message);
   core::RpcTerms terms;
   const auto who = read_caller(message, core_, terms);
   if (!who.empty()) throw graphql::Error("UNIDENTIFIED", who);
@@ -239,12 +243,36 @@
   terms.klass = price.booking ? config_.booking : config_.reading;
   terms.units = price.units;
   if (terms.budget.count() <= 0) terms.budget = core_.patience_of(terms.klass);
+  terms.budget = std::max(std::chrono::nanoseconds{}, terms.budget - incoming.waited);
   std::string body;
   json::write(body, forwarded(request));
   ++counters_.graphql_taken;
   auto context = std::make_shared<Context>(Context{*media_type(message)});
   auto payload = std::make_shared<GraphqlExchange>(config_.path, std::move(body), price.booking);
-  return {std::nullopt, core_.take(std::move(terms), std::move(payload), channel), std::move(context)};
+  payload->lasts = incoming.lasts;
+  return {std::nullopt, core_.take(std::move(terms), std::move(payload), incoming.channel),
+          std::move(context)};
+}
+
+// Priced once more where a route goes by class; what can't be priced belongs to none, and is told why by
+// `take`.
+std::string GraphqlFront::class_of(const http::Message& message) const {
+  try {
+    const auto request = read_request(message);
+    const auto* batch = request.array();
+    bool booking = false;
+    for (std::size_t i = 0; i < (batch ? std::min(batch->size(), config_.limits.batch) : 1); ++i) {
+      booking = price(batch ? (*batch)[i] : request, message.method == "GET").booking || booking;
+    }
+    return booking ? config_.booking : config_.reading;
+  } catch (const std::exception&) {
+    return {};
+  }
+}
+
+Reply GraphqlFront::unavailable(std::chrono::nanoseconds come_back, const http::Message& message) {
+  return {429, error_body("UNAVAILABLE", "not run: come back later", come_back), retry_after_field(come_back),
+          media_type(message).value_or(kOldType)};
 }
 
 Reply GraphqlFront::answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) {
@@ -265,7 +293,28 @@
   return {status, error_body("BAD_REQUEST", std::string(http::reason(status))), {}, kOldType};
 }
 
-GraphqlConfig parse_graphql_config(std::string_view text) {
+namespace {
+
+std::vector<config::ListEntry> read_servers(const json::Value& root) {
+  const std::string key = "GraphQL file: servers";
+  const auto* servers = root.find("servers");
+  if (!servers || !servers->array() || servers->array()->empty())
+    throw config::Error(key + ": must list addresses");
+  std::vector<config::ListEntry> out;
+  for (const auto& server : *servers->array()) {
+    if (!server.string()) throw config::Error(key + ": must list addresses");
+    config::ListEntry entry;
+    entry.name = *server.string();
+    entry.state = "active";
+    entry.address = config::parse_address(entry.name, key);
+    out.push_back(std::move(entry));
+  }
+  return out;
+}
+
+}  // namespace
+
+GraphqlConfig parse_graphql_config(std::string_view text, bool alone) {
   json::Value root;
   try {
     root = json::parse(text);
@@ -289,24 +338,14 @@
     return v;
   };
   GraphqlConfig config;
-  config.listen = config::parse_address(text_at(root, "listen", ""), "GraphQL file: listen");
+  if (alone) config.listen = config::parse_address(text_at(root, "listen", ""), "GraphQL file: listen");
   config.path = text_at(root, "path", config.path);
   if (!config.path.starts_with('/')) throw wrong("path", "must start with /");
   if (const auto* classes = root.find("classes")) {
     config.reading = text_at(*classes, "reading", config.reading);
     config.booking = text_at(*classes, "booking", config.booking);
   }
-  const auto* servers = root.find("servers");
-  if (!servers || !servers->array() || servers->array()->empty())
-    throw wrong("servers", "must list addresses");
-  for (const auto& server : *servers->array()) {
-    if (!server.string()) throw wrong("servers", "must list addresses");
-    config::ListEntry entry;
-    entry.name = *server.string();
-    entry.state = "active";
-    entry.address = config::parse_address(entry.name, "GraphQL file: servers");
-    config.servers.push_back(std::move(entry));
-  }
+  if (alone) config.servers = read_servers(root);
   if (const auto* limits = root.find("limits")) {
     auto& l = config.limits;
     for (auto [name, into] : {std::pair{"bytes", &l.bytes},
--- a/src/front/graphql/graphql.h
+++ b/src/front/graphql/graphql.h
@@ -15,18 +15,23 @@
   graphql::Costs costs;
   graphql::Limits limits;
 };
-GraphqlConfig parse_graphql_config(std::string_view text);  // throws config::Error, which names the key
+// Throws config::Error, which names the key. `alone`: the file tells where to listen and who the servers are;
+// else a file of services does.
+GraphqlConfig parse_graphql_config(std::string_view text, bool alone = true);
 
 class GraphqlFront : public Front {
  public:
   GraphqlFront(core::Core& core, GraphqlConfig config, metrics::Counters& counters);
-  Handled request(const http::Message& message, const std::shared_ptr<core::Channel>& channel) override;
+  Handled request(const Incoming& incoming) override;
   Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) override;
   Reply malformed(int status) override;
+  Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) override;
+  void abandoned(core::RpcId rpc, const std::shared_ptr<void>&) override { core_.abandoned(rpc); }
+  std::string class_of(const http::Message& message) const override;
 
  private:
   struct Context;
-  Handled take(const http::Message& message, const std::shared_ptr<core::Channel>& channel);
+  Handled take(const Incoming& incoming);
   graphql::Price price(const json::Value& request, bool safe_method) const;
 
   core::Core& core_;
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -21,11 +21,12 @@
 
 class PlatformExchange : public attempt::Exchange {
  public:
-  PlatformExchange(const http::Message& message, std::shared_ptr<const std::vector<std::string>> load_fields,
-                   std::shared_ptr<OpenIds> open, std::string id)
+  PlatformExchange(const http::Message& message, std::string_view target,
+                   std::shared_ptr<const std::vector<std::string>> load_fields, std::shared_ptr<OpenIds> open,
+                   std::string id)
       : load_fields_(std::move(load_fields)), open_(std::move(open)), id_(std::move(id)) {
     open_->insert(id_);
-    head_.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\nHost: ");
+    head_.append(message.method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ");
     head_.append(message.field("Host").value_or("worker")).append("\r\nReq-Id: ");
     head_.append(message.field("Req-Id").value_or("")).append("\r\nReq-Kind: ");
     head_.append(message.field("Req-Kind").value_or("")).append("\r\n");
@@ -95,10 +96,9 @@
 PlatformFront::PlatformFront(core::Core& core, std::vector<std::string> load_fields)
     : core_(core), load_fields_(std::make_shared<const std::vector<std::string>>(std::move(load_fields))) {}
 
-Handled PlatformFront::request(const http::Message& message, const std::shared_ptr<core::Channel>& channel) {
-  if (message.target == "/health/ready" || message.target == "/health/live") {
-    return {Reply{200, "ok\n", {}, "text/plain"}};
-  }
+Handled PlatformFront::request(const Incoming& incoming) {
+  const auto& message = incoming.message;
+  if (is_health(message.target)) return {Reply{200, "ok\n", {}, "text/plain"}};
   const auto bad = [](const std::string& what, int status = 400) {
     return Handled{Reply{status, what + "\n", {}, "text/plain"}};
   };
@@ -120,8 +120,11 @@
   }
   if (open_->contains(id)) return bad("Req-Id is that of an open request", 409);
   terms.units = *units;
-  auto payload = std::make_shared<PlatformExchange>(message, load_fields_, open_, id);
-  return {std::nullopt, core_.take(std::move(terms), std::move(payload), channel)};
+  terms.budget = std::max(std::chrono::nanoseconds{}, terms.budget - incoming.waited);
+  const auto target = incoming.target.empty() ? message.target : incoming.target;
+  auto payload = std::make_shared<PlatformExchange>(message, target, load_fields_, open_, id);
+  payload->lasts = incoming.lasts;
+  return {std::nullopt, core_.take(std::move(terms), std::move(payload), incoming.channel)};
 }
 
 Reply PlatformFront::answer(core::FinalAnswer&& answer, const std::shared_ptr<void>&) {
@@ -134,4 +137,12 @@
   return {status, std::string(http::reason(status)) + "\n", {}, "text/plain"};
 }
 
+Reply PlatformFront::unavailable(std::chrono::nanoseconds come_back, const http::Message&) {
+  return {429, {}, retry_after_field(come_back)};
+}
+
+std::string PlatformFront::class_of(const http::Message& message) const {
+  return std::string(message.field("Req-Kind").value_or(""));
+}
+
 }  // namespace cranemux::front
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -11,9 +11,12 @@
 class PlatformFront : public Front {
  public:
   PlatformFront(core::Core& core, std::vector<std::string> load_fields);
-  Handled request(const http::Message& message, const std::shared_ptr<core::Channel>& channel) override;
+  Handled request(const Incoming& incoming) override;
   Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) override;
   Reply malformed(int status) override;
+  Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) override;
+  void abandoned(core::RpcId rpc, const std::shared_ptr<void>&) override { core_.abandoned(rpc); }
+  std::string class_of(const http::Message& message) const override;
 
  private:
   core::Core& core_;
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -1,22 +1,22 @@
 #include "gatekeeper.h"
 
 #include <algorithm>
-#include <sstream>
+
+#include "front/platform/platform.h"
 
 namespace cranemux {
 namespace {
 
 // New connections come for 0.4 s after SIGTERM; SIGKILL comes 2.7 s after it at the earliest.
 constexpr std::chrono::milliseconds kStillOpen{450}, kLook{10}, kLongestDrain{2600};
+constexpr std::chrono::milliseconds kReap{50};
+constexpr const char* kOnlyPool = "main";
 
-attempt::Limits limits_of(const config::Config& config) {
-  return {config.connect_timeout, config.connection_idle,
-          std::chrono::nanoseconds(config.settings.drain_grace), config.sockets * 3 / 10};
-}
-
-// A quarter of the memory for what channels hold; calls to workers may hold as much.
-front::ChannelLimits channel_limits_of(const config::Config& config) {
-  return {config.sockets, config.sockets * 6 / 10, config.memory_mb * 1024 * 1024 / 4};
+// A quarter of the memory for what channels hold; calls to workers may hold as much. Listeners have even
+// shares.
+front::ChannelLimits channel_limits_of(std::size_t sockets, std::size_t memory_mb, std::size_t listeners) {
+  const auto totals = config::totals_of(sockets, memory_mb);
+  return {sockets / listeners, totals.channels / listeners, totals.bytes / listeners};
 }
 
 config::Config with_graphql(config::Config config, const std::optional<front::GraphqlConfig>& graphql) {
@@ -28,11 +28,34 @@
   return config;
 }
 
-std::unique_ptr<front::Front> make_front(core::Core& core, const config::Config& config,
+// The whole of the limits is the one pool's.
+config::PoolConfig only_pool(const config::Config& config) {
+  const auto totals = config::totals_of(config.sockets, config.memory_mb);
+  const auto whole = [](std::size_t total) { return pool::Part{total, total}; };
+  config::PoolConfig pool;
+  pool.name = pool.quota_group = kOnlyPool;
+  pool.discovery = config.discovery;
+  pool.nodes = config.known;
+  pool.settings = config.settings;
+  pool.load_fields = config.load_fields;
+  pool.connect_timeout = config.connect_timeout;
+  pool.connection_idle = config.connection_idle;
+  pool.admission = {whole(totals.channels), whole(totals.channels), whole(totals.bytes)};
+  pool.connections = whole(totals.connections);
+  return pool;
+}
+
+std::optional<front::GraphqlConfig> read_costs(const config::ListenerConfig& listener) {
+  if (listener.front != config::FrontKind::graphql) return std::nullopt;
+  return front::parse_graphql_config(config::read_file(listener.graphql_file, listener.name + ".graphql"),
+                                     false);
+}
+
+std::unique_ptr<front::Front> make_front(core::Core& core, const std::vector<std::string>& load_fields,
                                          const std::optional<front::GraphqlConfig>& graphql,
                                          metrics::Counters& counters) {
   if (graphql) return std::make_unique<front::GraphqlFront>(core, *graphql, counters);
-  return std::make_unique<front::PlatformFront>(core, config.load_fields);
+  return std::make_unique<front::PlatformFront>(core, load_fields);
 }
 
 }  // namespace
@@ -41,53 +64,123 @@
                        metrics::Logger& logger)
     : io_(io),
       logger_(logger),
+      name_(config.name),
       config_(with_graphql(config, options.graphql)),
       own_servers_(options.graphql.has_value()),
-      turn_timer_(io),
       drain_timer_(io),
-      core_(config_.settings, logger, counters_),
-      attempts_(io, core_, limits_of(config_), logger, counters_),
-      peers_(io, core_, config_, logger, counters_),
-      front_(make_front(core_, config_, options.graphql, counters_)),
-      channels_(io, config_.listen, channel_limits_of(config_), *front_, core_, logger, counters_),
-      resolver_(
-          io, core_, config.discovery,
-          [this](const config::ResolverResult& result, bool whole) { attempts_.resolved(result, whole); },
-          logger, counters_) {
-  core_.connect(attempts_, peers_, *this);
-  if (!options.console.empty()) {
-    console_ = std::make_unique<console::Console>(
-        io, options.console, [this](const std::string& line) { return command(line); }, logger);
+      reap_timer_(io),
+      shared_(pool::shared_of(config::totals_of(config.sockets, config.memory_mb))),
+      peers_(io, config.peer_listen, config.peers, logger, counters_) {
+  const auto pool = std::make_shared<pool::Pool>(
+      io, only_pool(*config_), shared_, peers_, nullptr, [] { return false; }, logger, counters_);
+  pools_[kOnlyPool] = {pool, nullptr};
+  Listener listener;
+  listener.config.name = kOnlyPool;
+  listener.config.listen = config_->listen;
+  listener.front = make_front(pool->core(), config_->load_fields, options.graphql, counters_);
+  listener.channels = std::make_unique<front::ChannelServer>(
+      io, config_->listen, channel_limits_of(config_->sockets, config_->memory_mb, 1), *listener.front,
+      logger, counters_);
+  listeners_.push_back(std::move(listener));
+  open_console(options);
+  open_exports(options);
+}
+
+Gatekeeper::Gatekeeper(net::asio::io_context& io, const config::Services& services, const Options& options,
+                       metrics::Logger& logger)
+    : io_(io),
+      logger_(logger),
+      name_(services.name),
+      services_(services),
+      own_servers_(false),
+      drain_timer_(io),
+      reap_timer_(io),
+      shared_(pool::shared_of(config::totals_of(services.sockets, services.memory_mb))),
+      peers_(io, services.peer_listen, services.peers, logger, counters_) {
+  peers_.tag_messages(services.peer_messages_per_s);
+  pools_ = make_pools(services);
+  for (const auto& config : services.listeners) {
+    Listener listener;
+    listener.config = config;
+    // What no pool answers is worded by a front of the first pool.
+    const auto& first = *pools_.begin()->second.pool;
+    auto plain = make_front(pools_.begin()->second.pool->core(), first.config().load_fields,
+                            read_costs(config), counters_);
+    auto routed = std::make_unique<front::RoutedFront>(std::move(plain), counters_);
+    listener.routed = routed.get();
+    listener.front = std::move(routed);
+    listener.channels = std::make_unique<front::ChannelServer>(
+        io, config.listen, channel_limits_of(services.sockets, services.memory_mb, services.listeners.size()),
+        *listener.front, logger, counters_);
+    listeners_.push_back(std::move(listener));
   }
+  const auto routings = make_routings(services, pools_);
+  for (std::size_t i = 0; i < listeners_.size(); ++i) listeners_[i].routed->set(routings[i]);
+  open_console(options);
+  open_exports(options);
+}
+
+// RPCs that are left hold what belongs to the pools that hold them.
+Gatekeeper::~Gatekeeper() {
+  for (auto& [name, member] : pools_) member.pool->core().forget_all();
+  for (auto& member : leaving_) member.pool->core().forget_all();
+}
+
+void Gatekeeper::open_console(const Options& options) {
+  if (options.console.empty()) return;
+  console_ = std::make_unique<console::Console>(
+      io_, options.console, [this](const std::string& line) { return command(line); }, logger_);
+}
+
+void Gatekeeper::open_exports(const Options& options) {
   const auto interval =
       std::max(std::chrono::seconds(1), std::chrono::ceil<std::chrono::seconds>(options.export_every));
   if (!options.graphite.empty()) {
     const auto to = net::endpoint<net::tcp>(config::parse_address(options.graphite, "--graphite"));
     exporters_.push_back(std::make_unique<metrics::Exporter>(
-        io, to, options.export_every, false,
+        io_, to, options.export_every, false,
         [this] {
           const auto now = std::chrono::system_clock::now().time_since_epoch();
-          return metrics::graphite_lines(counters_, config_.name,
-                                         std::chrono::floor<std::chrono::seconds>(now));
+          return metrics::graphite_lines(counters(), name_, std::chrono::floor<std::chrono::seconds>(now));
         },
-        logger, counters_));
+        logger_, counters_));
   }
   if (!options.collectd.empty()) {
     exporters_.push_back(std::make_unique<metrics::Exporter>(
-        io, net::asio::local::stream_protocol::endpoint(options.collectd), options.export_every, true,
-        [this, interval] { return metrics::collectd_lines(counters_, config_.name, interval); }, logger,
+        io_, net::asio::local::stream_protocol::endpoint(options.collectd), options.export_every, true,
+        [this, interval] { return metrics::collectd_lines(counters(), name_, interval); }, logger_,
         counters_));
   }
 }
 
 void Gatekeeper::start() {
-  resolver_.start(config_.known, !own_servers_);
-  core_.turn();
-  channels_.start();
+  for (auto& [name, member] : pools_) {
+    member.pool->start(member.pool->config().discovery.has_value() && !own_servers_);
+  }
+  for (auto& listener : listeners_) {
+    listener.channels->start();
+    logger_.log(metrics::Level::info, name_, " listens on ", listener.config.listen.host, ":",
+                listener.config.listen.port);
+  }
   if (console_) console_->start();
   for (auto& exporter : exporters_) exporter->start();
-  logger_.log(metrics::Level::info, config_.name, " listens on ", config_.listen.host, ":",
-              config_.listen.port);
+}
+
+metrics::Counters Gatekeeper::counters() const {
+  auto sum = counters_;
+  for (const auto& [name, member] : pools_) {
+    if (member.counters) sum += *member.counters;
+  }
+  for (const auto& member : leaving_) sum += *member.counters;
+  sum.log_lines_dropped = logger_.dropped();
+  return sum;
+}
+
+std::size_t Gatekeeper::in_flight() const {
+  std::size_t sum = 0;
+  for (const auto& [name, member] : pools_) sum += member.pool->core().in_flight();
+  for (const auto& member : leaving_) sum += member.pool->core().in_flight();
+  return sum;
 }
 
 // Quotas, RPCs and channels stay; the watch moves to the file's `discovery`.
@@ -99,73 +192,20 @@
       logger_.log(metrics::Level::info, "reload: nothing to change, the GraphQL file lists the servers");
       return;
     }
-    for (const auto& key : config::fixed_until_restart(config_, file)) {
+    for (const auto& key : config::fixed_until_restart(*config_, file)) {
       logger_.log(metrics::Level::warning, "reload: ", key, " differs, which needs a restart");
     }
-    if (file.discovery == config_.discovery) return;
-    config_.discovery = file.discovery;
+    if (file.discovery == config_->discovery) return;
+    config_->discovery = file.discovery;
     logger_.log(metrics::Level::info, "reload: discovery is at ", file.discovery.host, ":",
                 file.discovery.port);
-    resolver_.move(file.discovery);
+    pools_.at(kOnlyPool).pool->move_discovery(file.discovery);
   } catch (const std::exception& error) {
     ++counters_.reloads_rejected;
     logger_.log(metrics::Level::error, "reload: the configuration stays as it was: ", error.what());
   }
 }
 
-void Gatekeeper::turn_soon() {
-  net::asio::post(io_, [this] { core_.turn(); });
-}
-
-void Gatekeeper::turn_at(net::Clock::time_point at) {
-  if (at == turn_timer_at_) return;
-  turn_timer_at_ = at;
-  if (at == net::Clock::time_point::max()) {
-    turn_timer_.cancel();
-    return;
-  }
-  turn_timer_.expires_at(at);
-  turn_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error || turn_timer_.expiry() > net::Clock::now()) return;
-    turn_timer_at_ = net::Clock::time_point::max();
-    core_.turn();
-  });
-}
-
-std::string Gatekeeper::command(const std::string& line) {
-  std::istringstream words(line);
-  std::string name, argument;
-  words >> name >> argument;
-  std::ostringstream out;
-  if (name == "counters") {
-    out << counters_;
-  } else if (name == "nodes") {
-    for (const auto& [node, n] : attempts_.nodes()) {
-      out << node << ' ' << n.state << " busy " << n.busy << " idle " << n.idle << " sent " << n.sent << '\n';
-    }
-  } else if (name == "quotas") {
-    for (const auto& [customer, use] : core_.use()) {
-      const auto* plan = core_.plan(use.plan);
-      out << customer << ' ' << use.plan << " units " << use.units << " rpcs " << use.rpcs << " unavailable "
-          << use.unavailable << " rate " << (plan ? plan->rate : 0) << " burst " << (plan ? plan->burst : 0)
-          << '\n';
-    }
-  } else if (name == "log") {
-    const auto level = metrics::level_named(argument);
-    if (level) logger_.set_level(*level);
-    if (!level && !argument.empty()) return "unknown level " + argument + '\n';
-    out << "log level " << metrics::kLevelNames[static_cast<std::size_t>(logger_.level())] << '\n';
-  } else if (name == "drain") {
-    drain();
-    out << "draining: answers what it has taken, then ends\n";
-  } else if (name == "help") {
-    out << "counters | nodes | quotas | log [debug|info|warning|error] | drain | help | quit\n";
-  } else {
-    return "unknown command " + name + ": try help\n";
-  }
-  return out.str();
-}
-
 void Gatekeeper::drain() {
   if (std::exchange(draining_, true)) return;
   net::spawn(io_, logger_, "drain", wind_down());
@@ -175,13 +215,158 @@
   const auto start = net::Clock::now();
   drain_timer_.expires_at(start + kStillOpen);
   co_await drain_timer_.async_wait(net::kResult);
-  while (net::Clock::now() < start + kLongestDrain && !(channels_.idle() && core_.in_flight() == 0)) {
-    channels_.drain();
+  const auto idle = [this] {
+    return in_flight() == 0 && std::all_of(listeners_.begin(), listeners_.end(),
+                                           [](const auto& listener) { return listener.channels->idle(); });
+  };
+  while (net::Clock::now() < start + kLongestDrain && !idle()) {
+    for (auto& listener : listeners_) listener.channels->drain();
     drain_timer_.expires_after(kLook);
     co_await drain_timer_.async_wait(net::kResult);
   }
-  channels_.stop();
+  for (auto& listener : listeners_) listener.channels->stop();
   io_.stop();
 }
 
+// ---- several services ---------------------------------------------------------------------------
+
+Gatekeeper::Member Gatekeeper::make_pool(const config::PoolConfig& config, const Members& others) {
+  Member member;
+  member.counters = std::make_shared<metrics::Counters>();
+  pool::Pool* group = nullptr;
+  for (const auto& [name, other] : others) {
+    if (other.pool->config().quota_group == config.quota_group) group = other.pool.get();
+  }
+  auto settings = config;
+  settings.settings.message_bytes = peers::kMostTagged;
+  settings.settings.seed ^= peers::tag_of(config.name);
+  member.pool = std::make_shared<pool::Pool>(
+      io_, settings, shared_, peers_, group,
+      [this, asker = config.name] {
+        const auto at = pools_.find(asker);
+        return at != pools_.end() && reclaim(*at->second.pool);
+      },
+      logger_, *member.counters);
+  return member;
+}
+
+// Pools that can stay as they are, and those that are new; nothing of what runs is touched.
+Gatekeeper::Members Gatekeeper::make_pools(const config::Services& services) {
+  Members members;
+  for (const auto& [name, config] : services.pools) {
+    const auto old = pools_.find(name);
+    if (old != pools_.end() && config::same_module(services_->pools.at(name), config))
+      members[name] = old->second;
+  }
+  for (const auto& [name, config] : services.pools) {
+    if (!members.contains(name)) members[name] = make_pool(config, members);
+  }
+  return members;
+}
+
+std::shared_ptr<front::PoolFront> Gatekeeper::make_pool_front(
+    std::size_t listener, const config::ListenerConfig& config, const Member& member,
+    const std::optional<front::GraphqlConfig>& costs) {
+  // A front of a pool that stays knows which request ids are open: it stays, too.
+  if (config.front == config::FrontKind::platform && listeners_[listener].routed->has_routing()) {
+    const auto& old = listeners_[listener].routed->routing().pools;
+    const auto at = old.find(member.pool->name());
+    if (at != old.end() && at->second->pool == member.pool) return at->second;
+  }
+  auto made = std::make_shared<front::PoolFront>();
+  made->pool = member.pool;
+  made->front = make_front(member.pool->core(), member.pool->config().load_fields, costs, *member.counters);
+  return made;
+}
+
+Gatekeeper::Routings Gatekeeper::make_routings(const config::Services& services, const Members& members) {
+  Routings routings;
+  for (std::size_t i = 0; i < services.listeners.size(); ++i) {
+    const auto& listener = services.listeners[i];
+    const auto costs = read_costs(listener);
+    auto routing = std::make_shared<front::Routing>();
+    routing->table = std::make_unique<routing::RouteTable>(listener.routes);
+    for (const auto& route : routing->table->routes()) {
+      routing->by_class = routing->by_class || !route.classes.empty() || !route.overflow.empty();
+      auto names =
+          route.overflow.empty() ? std::vector<std::string>{} : std::vector<std::string>{route.overflow};
+      for (const auto& share : route.shares) names.push_back(share.pool);
+      for (const auto& name : names) {
+        auto& slot = routing->pools[name];
+        if (!slot) slot = make_pool_front(i, listener, members.at(name), costs);
+      }
+    }
+    routings.push_back(std::move(routing));
+  }
+  return routings;
+}
+
+void Gatekeeper::reload_services(const std::function<config::Services()>& read) {
+  try {
+    const auto services = read();
+    if (services.listeners != services_->listeners) {
+      throw config::Error("listeners differ, which needs a restart");
+    }
+    apply(services);
+    ++counters_.reloads;
+  } catch (const std::exception& error) {
+    ++counters_.reloads_rejected;
+    logger_.log(metrics::Level::error, "reload: the configuration stays as it was: ", error.what());
+  }
+}
+
+// All that may fail comes first; then one swap, between two turns. An RPC stays with the pool that took it.
+void Gatekeeper::apply(const config::Services& services) {
+  auto members = make_pools(services);
+  const auto routings = make_routings(services, members);
+  std::size_t added = 0, removed = 0;
+  for (auto& [name, member] : members) {
+    const auto old = pools_.find(name);
+    if (old != pools_.end() && old->second.pool == member.pool) {
+      member.pool->alter(services.pools.at(name));
+    } else {
+      member.pool->start(member.pool->config().discovery.has_value());
+      ++added;
+    }
+  }
+  for (std::size_t i = 0; i < listeners_.size(); ++i) {
+    listeners_[i].config = services.listeners[i];
+    listeners_[i].routed->set(routings[i]);
+  }
+  for (auto& [name, member] : pools_) {
+    const auto now = members.find(name);
+    if (now != members.end() && now->second.pool == member.pool) continue;
+    member.pool->leave();
+    leaving_.push_back(member);
+    ++removed;
+  }
+  pools_ = std::move(members);
+  services_ = services;
+  logger_.log(metrics::Level::info, metrics::Field{"pools", std::to_string(pools_.size())},
+              "reload: ", pools_.size(), " pools, ", added, " of them new, ", removed, " removed");
+  if (!leaving_.empty() && !std::exchange(reaping_, true)) net::spawn(io_, logger_, "removed pools", reap());
+}
+
+net::awaitable<void> Gatekeeper::reap() {
+  while (!leaving_.empty()) {
+    reap_timer_.expires_after(kReap);
+    co_await reap_timer_.async_wait(net::kResult);
+    std::erase_if(leaving_, [this](const Member& member) {
+      if (!member.pool->over()) return false;
+      counters_ += *member.counters;
+      ++counters_.pools_removed;
+      return true;
+    });
+  }
+  reaping_ = false;
+}
+
+// An idle connection that another pool was lent.
+bool Gatekeeper::reclaim(const pool::Pool& asker) {
+  return std::any_of(pools_.begin(), pools_.end(), [&](const auto& item) {
+    auto& pool = *item.second.pool;
+    return &pool != &asker && pool.connections().lent() > 0 && pool.attempts().close_oldest_idle();
+  });
+}
+
 }  // namespace cranemux
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -1,15 +1,20 @@
-// One running gatekeeper: the core, its fronts and its links, put together.
+// One running gatekeeper: its pools, its listeners and its links, put together.
 #pragma once
 
-#include "attempt/attempts.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
 #include "config/config.h"
+#include "config/services.h"
 #include "console/console.h"
-#include "core/core.h"
 #include "front/graphql/graphql.h"
-#include "front/platform/platform.h"
+#include "front/routed.h"
 #include "metrics/export.h"
 #include "peers/peers.h"
-#include "resolver/resolver.h"
+#include "pool/pool.h"
 
 namespace cranemux {
 
@@ -22,38 +27,76 @@
   std::chrono::milliseconds export_every{10'000};
 };
 
-class Gatekeeper : private core::Host {
+class Gatekeeper {
  public:
+  // One pool, as the platform's configuration has it.
   Gatekeeper(net::asio::io_context& io, const config::Config& config, const Options& options,
              metrics::Logger& logger);
+  // Several services, as a file of ours has them.
+  Gatekeeper(net::asio::io_context& io, const config::Services& services, const Options& options,
+             metrics::Logger& logger);
+  ~Gatekeeper();
+
   void start();
   // As at SIGHUP. `read` brings the file checked, or throws; then all stays as it was.
   void reload(const std::function<config::Config()>& read);
+  void reload_services(const std::function<config::Services()>& read);
   std::string command(const std::string& line);  // of the console
   void drain();                                  // as at SIGTERM: answers what it has taken, then ends
-  const metrics::Counters& counters() const { return counters_; }
+  metrics::Counters counters() const;            // of the process and all its pools together
 
  private:
-  void turn_soon() override;
-  void turn_at(net::Clock::time_point at) override;
+  struct Listener {
+    config::ListenerConfig config;
+    std::unique_ptr<front::Front> front;
+    front::RoutedFront* routed = nullptr;  // the same, where there are several pools
+    std::unique_ptr<front::ChannelServer> channels;
+  };
+  struct Member {
+    std::shared_ptr<pool::Pool> pool;
+    std::shared_ptr<metrics::Counters> counters;  // its own, where there are several pools
+  };
+  using Members = std::map<std::string, Member>;
+  using Routings = std::vector<std::shared_ptr<const front::Routing>>;
+
+  void open_console(const Options& options);
+  void open_exports(const Options& options);
+  Member make_pool(const config::PoolConfig& config, const Members& others);
+  Members make_pools(const config::Services& services);
+  Routings make_routings(const config::Services& services, const Members& members);
+  std::shared_ptr<front::PoolFront> make_pool_front(std::size_t listener,
+                                                    const config::ListenerConfig& config,
+                                                    const Member& member,
+                                                    const std::optional<front::GraphqlConfig>& costs);
+  void apply(const config::Services& services);
+  void forget(const Member& member);
+  bool reclaim(const pool::Pool& asker);
+  std::size_t in_flight() const;
+  net::awaitable<void> reap();
   net::awaitable<void> wind_down();
 
+  std::string drain_command(const std::string& pool, const std::string& node, bool drained);
+  void print_pools(std::ostream& out) const;
+  void print_routes(std::ostream& out) const;
+  void print_nodes(std::ostream& out, const std::string& pool) const;
+  void print_quotas(std::ostream& out, const std::string& pool) const;
+
   net::asio::io_context& io_;
   metrics::Logger& logger_;
-  metrics::Counters counters_;
-  config::Config config_;
-  const bool own_servers_;  // listed by the GraphQL file, not by discovery
-  net::asio::steady_timer turn_timer_, drain_timer_;
-  net::Clock::time_point turn_timer_at_ = net::Clock::time_point::max();
-  core::Core core_;
-  attempt::Attempts attempts_;
+  metrics::Counters counters_;  // of the process, and of the pool where there is one
+  std::string name_;
+  std::optional<config::Config> config_;      // with one pool
+  std::optional<config::Services> services_;  // with several
+  const bool own_servers_;                    // listed by the GraphQL file, not by discovery
+  net::asio::steady_timer drain_timer_, reap_timer_;
+  pool::Shared shared_;
   peers::PeerLink peers_;
-  std::unique_ptr<front::Front> front_;
-  front::ChannelServer channels_;
-  resolver::Resolver resolver_;
+  Members pools_;
+  std::vector<Member> leaving_;  // removed; at work until what they have taken is answered
+  std::vector<Listener> listeners_;
   std::unique_ptr<console::Console> console_;
   std::vector<std::unique_ptr<metrics::Exporter>> exporters_;
-  bool draining_ = false;
+  bool draining_ = false, reaping_ = false;
 };
 
 }  // namespace cranemux
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,6 @@
 // cranemux: the command line.
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -14,41 +16,129 @@
   return value ? std::optional<std::string>(value) : std::nullopt;
 }
 
-int serve(metrics::Level level, const Options& options) {
-  metrics::Logger logger(std::cerr, level);
+constexpr std::chrono::milliseconds kFlush{250};
+
+// What waits for a reader of the log that had stalled goes on as soon as it reads again.
+net::awaitable<void> flush_log(metrics::Logger& logger) {
+  net::asio::steady_timer timer(co_await net::asio::this_coro::executor);
+  for (;;) {
+    timer.expires_after(kFlush);
+    co_await timer.async_wait(net::kResult);
+    logger.flush();
+  }
+}
+
+struct LogOptions {
+  std::string level = "info", form = "text";
+};
+
+int serve(const LogOptions& log, const Options& options, const std::string& file) {
+  metrics::Logger logger(STDERR_FILENO, *metrics::level_named(log.level),
+                         log.form == "json" ? metrics::LogForm::json : metrics::LogForm::text);
   net::asio::io_context io(1);
-  Gatekeeper gatekeeper(io, config::load(environment), options, logger);
+  std::optional<Gatekeeper> gatekeeper;
+  if (file.empty()) {
+    gatekeeper.emplace(io, config::load(environment), options, logger);
+  } else {
+    gatekeeper.emplace(io, config::load_services(file, environment), options, logger);
+  }
   net::asio::signal_set stops(io, SIGTERM, SIGINT);
   stops.async_wait([&](const boost::system::error_code& error, int) {
-    if (!error) gatekeeper.drain();
+    if (!error) gatekeeper->drain();
   });
   net::asio::signal_set asks(io, SIGUSR1, SIGHUP);
   std::function<void(const boost::system::error_code&, int)> asked = [&](const auto& error, int signal) {
     if (error) return;
-    if (signal == SIGUSR1) std::cerr << gatekeeper.counters() << std::flush;
-    if (signal == SIGHUP) gatekeeper.reload([] { return config::reload(environment); });
+    if (signal == SIGUSR1) std::cerr << gatekeeper->counters() << std::flush;
+    if (signal == SIGHUP && file.empty()) gatekeeper->reload([] { return config::reload(environment); });
+    if (signal == SIGHUP && !file.empty()) {
+      gatekeeper->reload_services([&] { return config::load_services(file, environment); });
+    }
     asks.async_wait(asked);
   };
   asks.async_wait(asked);
-  gatekeeper.start();
+  net::spawn(io, logger, "log", flush_log(logger));
+  gatekeeper->start();
   io.run();
-  std::cerr << gatekeeper.counters() << std::flush;
+  std::cerr << gatekeeper->counters() << std::flush;
   return 0;
 }
 
+int check_services(const std::string& file) {
+  const auto services = config::load_services(file, environment);
+  for (const auto& listener : services.listeners) {
+    if (!listener.graphql_file.empty()) {
+      front::parse_graphql_config(config::read_file(listener.graphql_file, listener.name + ".graphql"),
+                                  false);
+    }
+    std::cout << "listener " << listener.name << " on " << listener.listen.host << ':' << listener.listen.port
+              << (listener.front == config::FrontKind::graphql ? " graphql" : " platform") << '\n';
+    for (const auto& route : listener.routes) std::cout << "  route " << routing::describe(route) << '\n';
+  }
+  for (const auto& [name, pool] : services.pools) {
+    std::cout << "pool " << name << ": "
+              << (pool.discovery ? "nodes from discovery"
+                                 : std::to_string(pool.nodes.entries.size()) + " nodes")
+              << ", quotas of " << pool.quota_group;
+    for (const auto resource : {pool::Resource::channels, pool::Resource::rpcs, pool::Resource::bytes}) {
+      const auto& part = pool.admission[static_cast<std::size_t>(resource)];
+      std::cout << ", " << pool::name_of(resource) << ' ' << part.guaranteed << " to " << part.most;
+    }
+    std::cout << ", connections " << pool.connections.guaranteed << " to " << pool.connections.most << '\n';
+  }
+  std::cout << "good: " << services.name << ", " << services.pools.size() << " pools\n";
+  return 0;
+}
+
+struct Asked {
+  std::string listener, host, path = "/", method = "GET", klass, customer;
+};
+
+// Which route and pool would take a request, and why. 0: one takes it, 1: none does.
+int explain_route(const std::string& file, const Asked& asked) {
+  const auto services = config::load_services(file, environment);
+  const auto where = routing::normalise(asked.path, {asked.host});
+  if (where.fault != routing::Fault::none) {
+    std::cout << "400: " << routing::name_of(where.fault) << '\n';
+    return 1;
+  }
+  int code = 1;
+  for (const auto& listener : services.listeners) {
+    if (!asked.listener.empty() && asked.listener != listener.name) continue;
+    const routing::RouteTable table(listener.routes);
+    const routing::Query query{where.host, where.path, asked.method, asked.klass};
+    std::cout << "listener " << listener.name << ": host " << where.host << " path " << where.path << '\n';
+    for (const auto& line : table.explain(query)) std::cout << "  " << line << '\n';
+    const auto found = table.find(query);
+    if (!found.route) continue;
+    const auto share = routing::choose_share(asked.customer, found.route->shares);
+    std::cout << "  pool " << found.route->shares[share].pool;
+    if (found.route->shares.size() > 1) std::cout << " (by its share, for customer " << asked.customer << ')';
+    if (!found.route->overflow.empty()) std::cout << ", overflow " << found.route->overflow;
+    std::cout << '\n';
+    code = 0;
+  }
+  return code;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"cranemux: a gatekeeper that holds customers' quotas over all gatekeepers together"};
   app.require_subcommand(1);
-  std::string level = "info";
+  app.set_version_flag("--version", "cranemux " CRANEMUX_VERSION);
+  LogOptions log;
   auto* serving = app.add_subcommand("serve", "Serve, as the ROUTER_ variables say");
-  serving->add_option("--log", level, "Least level of log lines")
+  serving->add_option("--log", log.level, "Least level of log lines")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
-  std::string graphql, socket, command;
+  serving->add_option("--log-format", log.form, "Lines of text, or of one JSON object each")
+      ->check(CLI::IsMember({"text", "json"}));
+  std::string graphql, socket, command, file;
+  serving->add_option("--config", file, "Several services, as this YAML file has them")
+      ->excludes(serving->add_option("--graphql", graphql,
+                                     "Serve GraphQL as this file says, not the platform's protocol"));
   Options options;
   double export_s = 10;
-  serving->add_option("--graphql", graphql, "Serve GraphQL as this file says, not the platform's protocol");
   serving->add_option("--console", options.console, "Unix socket for the console; off where not given");
   serving->add_option("--graphite", options.graphite, "address:port of a Graphite receiver of plain text");
   serving->add_option("--collectd", options.collectd, "Unix socket of collectd's unixsock plugin");
@@ -60,9 +150,22 @@
   auto* version = app.add_subcommand("version", "Print the version");
   auto* checking = app.add_subcommand("check-config", "Read and check the configuration, then end");
   checking->add_option("--graphql", graphql, "Check this GraphQL file, too");
+  checking->add_option("--config", file,
+                       "Check this file of several services, and print its routes and pools");
+  Asked asked;
+  auto* explaining = app.add_subcommand("route", "Say which route and pool would take a request, and why");
+  explaining->add_option("file", file, "The file that serve --config is given")->required();
+  explaining->add_option("--listener", asked.listener, "Only this one");
+  explaining->add_option("--host", asked.host, "The Host field")->required();
+  explaining->add_option("--path", asked.path, "The target");
+  explaining->add_option("--method", asked.method);
+  explaining->add_option("--class", asked.klass);
+  explaining->add_option("--customer", asked.customer, "16 hex digits, for routes that are split");
   CLI11_PARSE(app, argc, argv);
   try {
     if (version->parsed()) std::cout << "cranemux " << CRANEMUX_VERSION << '\n';
+    if (explaining->parsed()) return explain_route(file, asked);
+    if (checking->parsed() && !file.empty()) return check_services(file);
     if (checking->parsed()) {
       if (!graphql.empty()) front::parse_graphql_config(config::read_file(graphql, "--graphql"));
       const auto config = config::load(environment);
@@ -75,7 +178,7 @@
       options.export_every = std::chrono::milliseconds(static_cast<std::int64_t>(export_s * 1000));
       if (!graphql.empty())
         options.graphql = front::parse_graphql_config(config::read_file(graphql, "--graphql"));
-      return serve(*metrics::level_named(level), options);
+      return serve(log, options, file);
     }
   } catch (const std::exception& error) {
     std::cerr << "cranemux: " << error.what() << '\n';
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <ostream>
+#include <vector>
 
 namespace cranemux::metrics {
 
@@ -17,7 +18,11 @@
   Count attempts_connect_failed = 0, attempts_reset = 0, attempts_cancelled = 0, attempts_moot = 0;
   Count attempts_spoilt = 0, attempts_overfull = 0, attempts_no_room = 0;
   Count worker_connections = 0, customers_forgotten = 0;
-  Count peer_sent = 0, peer_received = 0, peer_dropped = 0;
+  Count peer_sent = 0, peer_received = 0, peer_dropped = 0, peer_crowded = 0, peer_unknown_pool = 0;
+  Count routes_missed_host = 0, routes_missed_path = 0, routes_missed_method = 0, routes_missed_class = 0;
+  Count requests_bad_host = 0, requests_bad_target = 0;
+  Count rpcs_over_budget = 0, rpcs_drained_pool = 0, rpcs_overflowed = 0, pools_removed = 0;
+  Count log_lines_dropped = 0;
   Count reloads = 0, reloads_rejected = 0;
   Count resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
   Count graphql_taken = 0, graphql_rejected = 0, graphql_cost_mismatch = 0, graphql_over_burst = 0;
@@ -25,52 +30,81 @@
 
   template <typename Visit>
   void each(Visit visit) const {
-    visit("channels_opened", channels_opened);
-    visit("accept_failures", accept_failures);
-    visit("bad_requests", bad_requests);
-    visit("channels_idle_closed", channels_idle_closed);
-    visit("channels_cut", channels_cut);
-    visit("channels_evicted", channels_evicted);
-    visit("channels_over_idle_budget", channels_over_idle_budget);
-    visit("requests_timed_out", requests_timed_out);
-    visit("requests_no_memory", requests_no_memory);
-    visit("rpcs_taken", rpcs_taken);
-    visit("rpcs_served", rpcs_served);
-    visit("rpcs_unavailable", rpcs_unavailable);
-    visit("rpcs_failed", rpcs_failed);
-    visit("rpcs_abandoned", rpcs_abandoned);
-    visit("deadline_guards", deadline_guards);
-    visit("attempts_sent", attempts_sent);
-    visit("attempts_ok", attempts_ok);
-    visit("attempts_error", attempts_error);
-    visit("attempts_full", attempts_full);
-    visit("attempts_timeout", attempts_timeout);
-    visit("attempts_connect_failed", attempts_connect_failed);
-    visit("attempts_reset", attempts_reset);
-    visit("attempts_cancelled", attempts_cancelled);
-    visit("attempts_moot", attempts_moot);
-    visit("attempts_spoilt", attempts_spoilt);
-    visit("attempts_overfull", attempts_overfull);
-    visit("attempts_no_room", attempts_no_room);
-    visit("worker_connections", worker_connections);
-    visit("customers_forgotten", customers_forgotten);
-    visit("peer_sent", peer_sent);
-    visit("peer_received", peer_received);
-    visit("peer_dropped", peer_dropped);
-    visit("reloads", reloads);
-    visit("reloads_rejected", reloads_rejected);
-    visit("resolver_results", resolver_results);
-    visit("resolver_breaks", resolver_breaks);
-    visit("resolver_bad", resolver_bad);
-    visit("graphql_taken", graphql_taken);
-    visit("graphql_rejected", graphql_rejected);
-    visit("graphql_cost_mismatch", graphql_cost_mismatch);
-    visit("graphql_over_burst", graphql_over_burst);
-    visit("exports_sent", exports_sent);
-    visit("exports_dropped", exports_dropped);
+    each_of(*this, visit);
+  }
+  Counters& operator+=(const Counters& other);
+
+ private:
+  template <typename Self, typename Visit>
+  static void each_of(Self& self, Visit visit) {
+    visit("channels_opened", self.channels_opened);
+    visit("accept_failures", self.accept_failures);
+    visit("bad_requests", self.bad_requests);
+    visit("channels_idle_closed", self.channels_idle_closed);
+    visit("channels_cut", self.channels_cut);
+    visit("channels_evicted", self.channels_evicted);
+    visit("channels_over_idle_budget", self.channels_over_idle_budget);
+    visit("requests_timed_out", self.requests_timed_out);
+    visit("requests_no_memory", self.requests_no_memory);
+    visit("rpcs_taken", self.rpcs_taken);
+    visit("rpcs_served", self.rpcs_served);
+    visit("rpcs_unavailable", self.rpcs_unavailable);
+    visit("rpcs_failed", self.rpcs_failed);
+    visit("rpcs_abandoned", self.rpcs_abandoned);
+    visit("deadline_guards", self.deadline_guards);
+    visit("attempts_sent", self.attempts_sent);
+    visit("attempts_ok", self.attempts_ok);
+    visit("attempts_error", self.attempts_error);
+    visit("attempts_full", self.attempts_full);
+    visit("attempts_timeout", self.attempts_timeout);
+    visit("attempts_connect_failed", self.attempts_connect_failed);
+    visit("attempts_reset", self.attempts_reset);
+    visit("attempts_cancelled", self.attempts_cancelled);
+    visit("attempts_moot", self.attempts_moot);
+    visit("attempts_spoilt", self.attempts_spoilt);
+    visit("attempts_overfull", self.attempts_overfull);
+    visit("attempts_no_room", self.attempts_no_room);
+    visit("worker_connections", self.worker_connections);
+    visit("customers_forgotten", self.customers_forgotten);
+    visit("peer_sent", self.peer_sent);
+    visit("peer_received", self.peer_received);
+    visit("peer_dropped", self.peer_dropped);
+    visit("peer_crowded", self.peer_crowded);
+    visit("peer_unknown_pool", self.peer_unknown_pool);
+    visit("routes_missed_host", self.routes_missed_host);
+    visit("routes_missed_path", self.routes_missed_path);
+    visit("routes_missed_method", self.routes_missed_method);
+    visit("routes_missed_class", self.routes_missed_class);
+    visit("requests_bad_host", self.requests_bad_host);
+    visit("requests_bad_target", self.requests_bad_target);
+    visit("rpcs_over_budget", self.rpcs_over_budget);
+    visit("rpcs_drained_pool", self.rpcs_drained_pool);
+    visit("rpcs_overflowed", self.rpcs_overflowed);
+    visit("pools_removed", self.pools_removed);
+    visit("log_lines_dropped", self.log_lines_dropped);
+    visit("reloads", self.reloads);
+    visit("reloads_rejected", self.reloads_rejected);
+    visit("resolver_results", self.resolver_results);
+    visit("resolver_breaks", self.resolver_breaks);
+    visit("resolver_bad", self.resolver_bad);
+    visit("graphql_taken", self.graphql_taken);
+    visit("graphql_rejected", self.graphql_rejected);
+    visit("graphql_cost_mismatch", self.graphql_cost_mismatch);
+    visit("graphql_over_burst", self.graphql_over_burst);
+    visit("exports_sent", self.exports_sent);
+    visit("exports_dropped", self.exports_dropped);
   }
 };
 
+// Of several pools, or of one that has gone: what each has counted, together.
+inline Counters& Counters::operator+=(const Counters& other) {
+  std::vector<std::uint64_t> more;
+  other.each([&](const char*, std::uint64_t value) { more.push_back(value); });
+  std::size_t at = 0;
+  each_of(*this, [&](const char*, std::uint64_t& value) { value += more[at++]; });
+  return *this;
+}
+
 inline std::ostream& operator<<(std::ostream& out, const Counters& counters) {
   counters.each([&](const char* name, std::uint64_t value) { out << name << ' ' << value << '\n'; });
   return out;
--- a/src/metrics/logger.h
+++ b/src/metrics/logger.h
@@ -1,10 +1,18 @@
-// Log lines on a stream, less those below the level that is set.
+// Log lines with a severity and attributes, on Boost.Log, in its iostream style: as text, or one JSON object
+// a line.
+//   logger.log(Level::info, Field{"pool", name}, name, " is drained");
 #pragma once
 
 #include <array>
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <ostream>
+#include <sstream>
+#include <string>
 #include <string_view>
+#include <type_traits>
+#include <vector>
 
 namespace cranemux::metrics {
 
@@ -18,21 +26,48 @@
   return std::nullopt;
 }
 
+// An attribute of a line, apart from its text.
+struct Field {
+  std::string name, value;
+};
+
+enum class LogForm { text, json };
+
 class Logger {
  public:
-  explicit Logger(std::ostream& out, Level least = Level::info) : out_(out), least_(least) {}
+  // Lines go to this descriptor; a reader that stalls costs lines, which are counted, and nothing else.
+  explicit Logger(int descriptor, Level least = Level::info, LogForm form = LogForm::text);
+  ~Logger();
+  Logger(const Logger&) = delete;
+  Logger& operator=(const Logger&) = delete;
+
   void set_level(Level least) { least_ = least; }
   Level level() const { return least_; }
+  void flush();  // what waits for a stalled reader, as far as it takes it now
+  std::uint64_t dropped() const;
 
   template <typename... Parts>
   void log(Level level, const Parts&... parts) {
     if (level < least_) return;
-    out_ << kLevelNames[static_cast<std::size_t>(level)] << ": ";
-    (out_ << ... << parts) << '\n' << std::flush;
+    std::ostringstream text;
+    std::vector<Field> fields;
+    (add(text, fields, parts), ...);
+    write(level, text.str(), fields);
   }
 
  private:
-  std::ostream& out_;
+  template <typename Part>
+  static void add(std::ostream& text, std::vector<Field>& fields, const Part& part) {
+    if constexpr (std::is_same_v<Part, Field>) {
+      fields.push_back(part);
+    } else {
+      text << part;
+    }
+  }
+  void write(Level level, const std::string& text, const std::vector<Field>& fields);
+
+  struct Sink;
+  std::unique_ptr<Sink> sink_;
   Level least_;
 };
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <exception>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -26,11 +27,13 @@
   return {asio::ip::make_address(address.host == "localhost" ? "127.0.0.1" : address.host), address.port};
 }
 
-// A coroutine of its own. One that throws is logged and ends; the program goes on.
+// A coroutine of its own. One that throws is logged and ends; the program goes on. `lasts` stays until its
+// end.
 template <typename Executor>
-void spawn(Executor&& executor, metrics::Logger& logger, const char* what, awaitable<void> work) {
+void spawn(Executor&& executor, metrics::Logger& logger, const char* what, awaitable<void> work,
+           std::shared_ptr<void> lasts = {}) {
   asio::co_spawn(std::forward<Executor>(executor), std::move(work),
-                 [&logger, what](std::exception_ptr error) {
+                 [&logger, what, lasts = std::move(lasts)](std::exception_ptr error) {
                    if (!error) return;
                    try {
                      std::rethrow_exception(error);
@@ -40,6 +43,19 @@
                  });
 }
 
+// Counts the coroutines of an owner, which may go once all have ended.
+class Scope {
+ public:
+  template <typename Executor>
+  void spawn(Executor&& executor, metrics::Logger& logger, const char* what, awaitable<void> work) const {
+    net::spawn(std::forward<Executor>(executor), logger, what, std::move(work), here_);
+  }
+  bool empty() const { return here_.use_count() == 1; }
+
+ private:
+  std::shared_ptr<char> here_ = std::make_shared<char>();
+};
+
 // Reads what has come to the end of `buffer`. `eof` at the orderly end of the connection.
 inline awaitable<boost::system::error_code> read_some(tcp::socket& socket, std::string& buffer,
                                                       std::size_t piece = 4096) {
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -1,37 +1,92 @@
 #include "peers/peers.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cranemux::peers {
 
-constexpr std::size_t kMostBytes = 256;  // a longer datagram may not be sent
+Line::Line(PeerLink& link, Tag tag, core::Core& core) : tag(tag), core(core), link_(link) {
+  link_.lines_.push_back(this);
+}
+
+Line::~Line() { std::erase(link_.lines_, this); }
+
+void Line::tell(int to, const std::string& bytes) { link_.tell(*this, to, bytes); }
 
-PeerLink::PeerLink(net::asio::io_context& io, core::Core& core, const config::Config& config,
-                   metrics::Logger& logger, metrics::Counters& counters)
-    : socket_(io), core_(core), logger_(logger), counters_(counters) {
-  for (const auto& peer : config.peers) peers_.push_back(net::endpoint<net::udp>(peer));
-  if (!config.peer_listen) return;
-  const auto at = net::endpoint<net::udp>(*config.peer_listen);
+PeerLink::PeerLink(net::asio::io_context& io, const std::optional<config::Address>& listen,
+                   const std::vector<config::Address>& peers, metrics::Logger& logger,
+                   metrics::Counters& counters)
+    : socket_(io), timer_(io), logger_(logger), counters_(counters) {
+  for (const auto& peer : peers) peers_.push_back(net::endpoint<net::udp>(peer));
+  if (!listen) return;
+  const auto at = net::endpoint<net::udp>(*listen);
   socket_.open(at.protocol());
   socket_.bind(at);
   socket_.non_blocking(true);
   net::spawn(socket_.get_executor(), logger_, "peer messages", receive());
 }
 
-void PeerLink::tell(int to, const std::string& bytes) {
-  if (!socket_.is_open() || to < 0 || static_cast<std::size_t>(to) >= peers_.size() ||
-      bytes.size() > kMostBytes) {
+void PeerLink::tag_messages(double datagrams_per_s) { bag_.emplace(datagrams_per_s); }
+
+std::unique_ptr<Line> PeerLink::join(const std::string& ledger, core::Core& core) {
+  return std::make_unique<Line>(*this, tag_of(ledger), core);
+}
+
+void PeerLink::tell(const Line& line, int to, const std::string& bytes) {
+  const auto most = bag_ ? kMostTagged : kMostBytes;
+  if (!socket_.is_open() || to < 0 || static_cast<std::size_t>(to) >= peers_.size() || bytes.size() > most) {
     ++counters_.peer_dropped;
     return;
   }
+  if (!bag_) return send(to, bytes);
+  if (!bag_->put(line.tag, to, bytes)) ++counters_.peer_crowded;
+  flush();
+}
+
+void PeerLink::send(int to, const std::string& bytes) {
   boost::system::error_code error;  // a datagram that cannot leave at once is lost, as any may be
   socket_.send_to(net::asio::buffer(bytes), peers_[static_cast<std::size_t>(to)], 0, error);
   ++(error ? counters_.peer_dropped : counters_.peer_sent);
 }
 
+void PeerLink::flush() {
+  const auto now = net::Clock::now();
+  while (const auto datagram = bag_->next(now)) send(datagram->to, datagram->bytes);
+  const auto due = bag_->due();
+  if (!due || timer_.expiry() == *due) return;
+  timer_.expires_at(*due);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) flush();
+  });
+}
+
 void PeerLink::stop() {
   boost::system::error_code ignored;
   socket_.close(ignored);
+  timer_.cancel();
+}
+
+// The one that came last: a pool that was replaced may be at work for a while beside its successor.
+Line* PeerLink::line_of(Tag tag) {
+  const auto at =
+      std::find_if(lines_.rbegin(), lines_.rend(), [&](const auto* line) { return line->tag == tag; });
+  return at == lines_.rend() ? nullptr : *at;
+}
+
+void PeerLink::received(int from, std::string_view bytes) {
+  if (!bag_) {
+    ++counters_.peer_received;
+    if (!lines_.empty()) lines_.front()->core.peer_said(from, std::string(bytes));
+    return;
+  }
+  const bool whole = unpack(bytes, [&](Tag tag, std::string_view message) {
+    if (auto* line = line_of(tag)) {
+      line->core.peer_said(from, std::string(message));
+    } else {
+      ++counters_.peer_unknown_pool;  // a peer may have pools that are not here
+    }
+  });
+  ++(whole ? counters_.peer_received : counters_.peer_dropped);
 }
 
 net::awaitable<void> PeerLink::receive() {
@@ -47,8 +102,7 @@
       ++counters_.peer_dropped;
       continue;
     }
-    ++counters_.peer_received;
-    core_.peer_said(static_cast<int>(peer - peers_.begin()), std::string(bytes.data(), count));
+    received(static_cast<int>(peer - peers_.begin()), {bytes.data(), count});
   }
 }
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -1,30 +1,62 @@
-// Datagrams between gatekeepers.
+// Datagrams between gatekeepers, on one socket. A ledger alone sends the module's messages as they are; where
+// there are several, each message carries its ledger's tag, and they share the budget of datagrams
+// (mailbag.h).
 #pragma once
 
-#include <array>
+#include <memory>
+#include <optional>
 #include <vector>
 
 #include "config/config.h"
 #include "core/core.h"
 #include "net/net.h"
+#include "peers/mailbag.h"
 
 namespace cranemux::peers {
 
-class PeerLink : public core::Peers {
+class PeerLink;
+
+// One core's end of the link, until it goes.
+class Line : public core::Peers {
  public:
-  PeerLink(net::asio::io_context& io, core::Core& core, const config::Config& config, metrics::Logger& logger,
-           metrics::Counters& counters);
+  Line(PeerLink& link, Tag tag, core::Core& core);
+  ~Line() override;
+  Line(const Line&) = delete;
+  Line& operator=(const Line&) = delete;
   void tell(int to, const std::string& bytes) override;
+
+  const Tag tag;
+  core::Core& core;
+
+ private:
+  PeerLink& link_;
+};
+
+class PeerLink {
+ public:
+  PeerLink(net::asio::io_context& io, const std::optional<config::Address>& listen,
+           const std::vector<config::Address>& peers, metrics::Logger& logger, metrics::Counters& counters);
+  // From now on messages carry tags, and at most so many datagrams go in a second.
+  void tag_messages(double datagrams_per_s);
+  std::unique_ptr<Line> join(const std::string& ledger, core::Core& core);
   void stop();
 
  private:
+  friend class Line;
   net::awaitable<void> receive();
+  void received(int from, std::string_view bytes);
+  void tell(const Line& line, int to, const std::string& bytes);
+  void send(int to, const std::string& bytes);
+  void flush();
+  Line* line_of(Tag tag);
 
   net::udp::socket socket_;
-  core::Core& core_;
+  net::asio::steady_timer timer_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   std::vector<net::udp::endpoint> peers_;
+  std::vector<Line*> lines_;  // of a tag that several have, the last is told
+  std::optional<Mailbag> bag_;
 };
 
 }  // namespace cranemux::peers
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -25,11 +25,10 @@
   return std::max(std::chrono::nanoseconds(1), std::chrono::nanoseconds(since) + to_steady);
 }
 
-Resolver::Resolver(net::asio::io_context& io, core::Core& core, const config::Address& discovery,
-                   Listener listener, metrics::Logger& logger, metrics::Counters& counters)
+Resolver::Resolver(net::asio::io_context& io, const config::Address& discovery, Listener listener,
+                   metrics::Logger& logger, metrics::Counters& counters)
     : socket_(io),
       timer_(io),
-      core_(core),
       discovery_(discovery),
       listener_(std::move(listener)),
       logger_(logger),
@@ -39,8 +38,8 @@
 
 void Resolver::start(const config::ResolverResult& known, bool watches) {
   index_ = known.index;
-  pass_on(known, cranemux::ListScope::stored);
-  if (watches) net::spawn(socket_.get_executor(), logger_, "discovery", watch());
+  listener_(known, cranemux::ListScope::stored);
+  if (watches) scope_.spawn(socket_.get_executor(), logger_, "discovery", watch());
 }
 
 // Who is listed stays in use until the new address tells more. Versions there may be numbered differently, so
@@ -60,7 +59,8 @@
   timer_.cancel();
 }
 
-void Resolver::pass_on(const config::ResolverResult& result, cranemux::ListScope scope) {
+cranemux::ServerList Resolver::server_list(const config::ResolverResult& result,
+                                           cranemux::ListScope scope) const {
   cranemux::ServerList list;
   list.scope = scope;
   for (const auto& entry : result.entries) {
@@ -73,8 +73,7 @@
     server.started = start_on_steady_clock(entry.since, to_steady_).count();
     list.servers.push_back(std::move(server));
   }
-  listener_(result, scope != cranemux::ListScope::changes);
-  core_.resolved(std::move(list));
+  return list;
 }
 
 net::awaitable<void> Resolver::watch() {
@@ -150,7 +149,7 @@
     ++counters_.resolver_results;
     good_ = true;
     index_ = result.index;
-    pass_on(result, result.snapshot ? cranemux::ListScope::full : cranemux::ListScope::changes);
+    listener_(result, result.snapshot ? cranemux::ListScope::full : cranemux::ListScope::changes);
   } catch (const std::exception& error) {  // damaged: the next watch brings the whole list
     ++counters_.resolver_bad;
     index_ = 0;
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -4,7 +4,8 @@
 #include <functional>
 
 #include "config/config.h"
-#include "core/core.h"
+#include "cranemux/brain.h"
+#include "metrics/counters.h"
 #include "net/net.h"
 
 namespace cranemux::resolver {
@@ -12,23 +13,25 @@
 class Resolver {
  public:
   // Told each resolver result, and whether it is the whole list.
-  using Listener = std::function<void(const config::ResolverResult&, bool whole)>;
+  using Listener = std::function<void(const config::ResolverResult&, cranemux::ListScope)>;
 
-  Resolver(net::asio::io_context& io, core::Core& core, const config::Address& discovery, Listener listener,
+  Resolver(net::asio::io_context& io, const config::Address& discovery, Listener listener,
            metrics::Logger& logger, metrics::Counters& counters);
   void start(const config::ResolverResult& known, bool watches);
   void move(const config::Address& discovery);  // a new configuration: the watch goes there at once
+  // The same as the module takes it.
+  cranemux::ServerList server_list(const config::ResolverResult& result, cranemux::ListScope scope) const;
   void stop();
+  bool idle() const { return scope_.empty(); }
 
  private:
   net::awaitable<void> watch();
   net::awaitable<void> follow();  // one watch, until it breaks
   void line(std::string_view text);
-  void pass_on(const config::ResolverResult& result, cranemux::ListScope scope);
 
+  net::Scope scope_;
   net::tcp::socket socket_;
   net::asio::steady_timer timer_;
-  core::Core& core_;
   config::Address discovery_;
   Listener listener_;
   metrics::Logger& logger_;
--- /dev/null
+++ b/testing/client.cpp
@@ -0,0 +1,132 @@
+#include "testing/client.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+namespace cranemux::testing {
+
+Client::Client(Stage& stage, int port, Rules* rules, std::string prefix)
+    : stage_(stage),
+      to_(net::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)),
+      rules_(rules),
+      prefix_(std::move(prefix)),
+      logger_(STDERR_FILENO, metrics::Level::error) {}
+
+Client::~Client() = default;
+
+std::size_t Client::count(int status) const {
+  return static_cast<std::size_t>(
+      std::count_if(results_.begin(), results_.end(), [&](const auto& r) { return r.status == status; }));
+}
+
+std::string Client::send(const Ask& ask) {
+  ++sent_;
+  const auto id = ask.id.empty() ? prefix_ + std::to_string(sent_) : ask.id;
+  ++open_;
+  if (rules_) rules_->asked(id, ask.safe, ask.customer, ask.units, Clock::now(), ask.deadline);
+  net::spawn(stage_.io(), logger_, "stand-in client", exchange(ask, id));
+  return id;
+}
+
+void Client::pace(double per_s, milliseconds time, const std::function<Ask(std::size_t)>& make) {
+  const auto start = Clock::now();
+  const auto count = static_cast<std::size_t>(per_s * std::chrono::duration<double>(time).count());
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto at = start + std::chrono::duration_cast<Clock::duration>(
+                                std::chrono::duration<double>(static_cast<double>(i) / per_s));
+    while (Clock::now() < at) {
+      stage_.play(std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(at - Clock::now())));
+    }
+    send(make(i));
+  }
+}
+
+bool Client::finish(milliseconds most) {
+  return stage_.play_until([this] { return open_ == 0; }, most);
+}
+
+net::awaitable<void> Client::exchange(Ask ask, std::string id) {
+  const std::weak_ptr<char> alive = alive_;
+  Result result;
+  result.id = id;
+  result.sent = Clock::now();
+  const auto body = ask.safe ? std::string() : ask.body.empty() ? "book it" : ask.body;
+  std::string out = (ask.safe ? "GET " : "POST ") + ask.target + " HTTP/1.1\r\nHost: " + ask.host +
+                    "\r\nReq-Id: " + id + "\r\nReq-Kind: " + ask.klass + "\r\nX-Tier: " + ask.plan +
+                    "\r\nCookie: client=" + ask.customer +
+                    "\r\nReq-Deadline-Ms: " + std::to_string(ask.deadline.count()) +
+                    "\r\nX-Call-Terms: units=" + std::to_string(std::llround(ask.units)) + "\r\n" + ask.extra;
+  if (!ask.safe) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  out += "\r\n" + body;
+  // A close of an idle channel may cross the request: then it goes once more, on a new one.
+  for (int tries = 0; tries < 2 && result.status == 0; ++tries) {
+    std::shared_ptr<net::tcp::socket> socket;
+    if (tries == 0 && !idle_.empty()) {
+      socket = idle_.back();
+      idle_.pop_back();
+    }
+    const bool reused = socket != nullptr;
+    boost::system::error_code error;
+    if (!reused) {
+      socket = std::make_shared<net::tcp::socket>(stage_.io());
+      std::tie(error) = co_await socket->async_connect(to_, net::kResult);
+      if (!error) socket->set_option(net::tcp::no_delay(true), error);
+    }
+    if (!error) {
+      std::size_t count = 0;
+      std::tie(error, count) = co_await net::asio::async_write(*socket, net::asio::buffer(out), net::kResult);
+    }
+    std::string in;
+    http::Message message;
+    http::Verdict verdict;
+    while (!error && verdict.state == http::State::partial) {
+      if (co_await net::read_more(*socket, in) == 0) break;
+      verdict = http::parse(in, http::Kind::response, message);
+    }
+    if (alive.expired()) co_return;
+    if (verdict.state == http::State::whole) {
+      result.status = message.status;
+      result.body = message.body;
+      result.retry_after = message.field("Retry-After").value_or("");
+      if (message.keep_alive && message.size == in.size()) idle_.push_back(socket);
+    } else if (!reused || !in.empty()) {
+      break;
+    }
+  }
+  result.took = Clock::now() - result.sent;
+  if (rules_ && result.status != 0) rules_->answered(id, result.status, Clock::now());
+  results_.push_back(result);
+  --open_;
+  if (ask.done) ask.done(result);
+}
+
+std::string Client::raw(const std::string& bytes) {
+  net::asio::io_context io;
+  net::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(to_, error);
+  net::asio::write(socket, net::asio::buffer(bytes), error);
+  std::string in;
+  http::Message message;
+  while (http::parse(in, http::Kind::response, message).state == http::State::partial) {
+    char piece[4096];
+    const auto count = socket.read_some(net::asio::buffer(piece), error);
+    if (error) break;
+    in.append(piece, count);
+  }
+  return in;
+}
+
+double percentile_ms(const std::vector<Result>& results, double p, Clock::time_point from,
+                     Clock::time_point until) {
+  std::vector<double> times;
+  for (const auto& result : results) {
+    if (result.status != 200 || result.sent < from || result.sent >= until) continue;
+    times.push_back(std::chrono::duration<double, std::milli>(result.took).count());
+  }
+  if (times.empty()) return 0;
+  std::sort(times.begin(), times.end());
+  return times[std::min(times.size() - 1, static_cast<std::size_t>(p * static_cast<double>(times.size())))];
+}
+
+}  // namespace cranemux::testing
--- /dev/null
+++ b/testing/node.h
@@ -0,0 +1,73 @@
+// A stand-in dispatch node: a server of the platform's protocol that does what a test scripts, and counts its
+// runs.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http/http.h"
+#include "testing/rules.h"
+#include "testing/stage.h"
+
+namespace cranemux::testing {
+
+struct Behaviour {
+  enum class Answer {
+    good,      // 200 and a body that names the node and the request
+    error,     // 500, and it has run
+    declined,  // 503 with Srv-Declined: never ran
+    stall,     // runs, and says nothing
+    reset,     // runs, then breaks the connection
+    spoilt,    // runs, then says what cannot be read
+  };
+  Answer answer = Answer::good;
+  milliseconds delay{5};  // from the request's last byte to the answer
+};
+
+class Node {
+ public:
+  // `name` is what the rules and the answers call it. `body`: of a good answer, where it is another.
+  Node(Stage& stage, std::string name, Rules* rules = nullptr);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  int port() const;
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+  const std::string& name() const { return name_; }
+
+  Behaviour behaviour;
+  std::function<Behaviour(const http::Message&)> script;  // instead, by request
+  std::function<std::string(const http::Message&)> body;  // of a good answer
+  std::function<std::string(const http::Message&)> id;    // of a request: its Req-Id, where nothing is set
+  void close();                                           // stops listening, and breaks all connections
+
+  std::size_t taken() const { return taken_; }  // requests whose last byte has come
+  std::size_t connections() const { return connections_; }
+  std::size_t most_connections() const { return most_connections_; }
+  const std::map<std::string, std::size_t>& runs() const { return runs_; }  // by request id
+  const std::string& last_target() const { return last_target_; }
+
+ private:
+  struct Talk;
+  net::awaitable<void> accept();
+  net::awaitable<void> serve(std::shared_ptr<Talk> talk);
+  void look(const std::string& id);
+  void over(Talk& talk);
+  net::awaitable<bool> answer(Talk& talk, const http::Message& message, const std::string& id);
+
+  Stage& stage_;
+  const std::string name_;
+  Rules* rules_;
+  net::tcp::acceptor acceptor_;
+  metrics::Logger logger_;
+  std::map<Talk*, std::weak_ptr<Talk>> talks_;
+  std::size_t taken_ = 0, connections_ = 0, most_connections_ = 0;
+  std::map<std::string, std::size_t> runs_;
+  std::string last_target_;
+  std::shared_ptr<char> alive_ = std::make_shared<char>();
+};
+
+}  // namespace cranemux::testing
--- /dev/null
+++ b/testing/program.h
@@ -0,0 +1,54 @@
+// The program under test as a process: started with files in a folder of its own, ended with it.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranemux::testing {
+
+int free_port();  // on loopback
+
+// A folder for one test's files, removed at the end.
+class Folder {
+ public:
+  Folder();
+  ~Folder();
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  std::string path(const std::string& name) const { return path_ + "/" + name; }
+  std::string write(const std::string& name, const std::string& text) const;  // returns the path
+
+ private:
+  std::string path_;
+};
+
+class Program {
+ public:
+  // `log`: a file that takes standard output and error.
+  Program(const std::string& binary, const std::vector<std::string>& arguments,
+          const std::map<std::string, std::string>& environment, const std::string& log);
+  ~Program();  // kills it, if it is still there
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+
+  void signal(int number) const;
+  bool alive();
+  int wait();  // its exit code; -1 if a signal ended it
+  long resident_kb() const;
+  pid_t pid() const { return pid_; }
+
+ private:
+  pid_t pid_ = 0;
+  int code_ = 0;
+};
+
+// Runs it to its end. Its output goes to `output`.
+int run(const std::string& binary, const std::vector<std::string>& arguments, std::string& output);
+
+// One command on a console's Unix socket, and its answer.
+std::string console(const std::string& socket, const std::string& command);
+
+}  // namespace cranemux::testing
--- /dev/null
+++ b/testing/rules.cpp
@@ -0,0 +1,114 @@
+#include "testing/rules.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cranemux::testing {
+namespace {
+
+constexpr std::chrono::seconds kDrainGrace{1};
+
+}  // namespace
+
+void Rules::asked(const std::string& id, bool safe, const std::string& customer, double units, Time at,
+                  Span deadline) {
+  auto& ask = asks_[id];
+  ask.safe = safe;
+  ask.customer = customer;
+  ask.units = units;
+  ask.at = at;
+  ask.deadline = deadline;
+}
+
+void Rules::answered(const std::string& id, int status, Time at) {
+  asks_[id].answers.emplace_back(status, at);
+}
+
+void Rules::begun(const std::string& id, const std::string& node, Time at) {
+  for (const auto& look : looks_) look(id);
+  auto& ask = asks_[id];
+  ask.most_out = std::max(ask.most_out, ++ask.out);
+  begins_.push_back({id, node, at});
+}
+
+void Rules::ran(const std::string& id) { ++asks_[id].runs; }
+
+void Rules::over(const std::string& id, Time) { --asks_[id].out; }
+
+void Rules::drained(const std::string& node, Time at) { drains_[node].push_back({at, Time::max()}); }
+
+void Rules::serves(const std::string& node, Time at) {
+  auto& drains = drains_[node];
+  if (!drains.empty()) drains.back().until = at;
+}
+
+std::size_t Rules::answers(int status) const {
+  return static_cast<std::size_t>(std::count_if(asks_.begin(), asks_.end(), [&](const auto& item) {
+    return !item.second.answers.empty() && item.second.answers.front().first == status;
+  }));
+}
+
+std::size_t Rules::runs(const std::string& id) const {
+  const auto at = asks_.find(id);
+  return at == asks_.end() ? 0 : at->second.runs;
+}
+
+std::vector<std::string> Rules::broken(Span slack) const {
+  std::vector<std::string> out;
+  for (const auto& [id, ask] : asks_) {
+    if (ask.answers.empty()) out.push_back(id + " has no final answer");
+    if (ask.answers.size() > 1) out.push_back(id + " has " + std::to_string(ask.answers.size()) + " answers");
+    if (!ask.answers.empty() && ask.answers.front().second > ask.at + ask.deadline + slack) {
+      out.push_back(id + " was answered past its deadline");
+    }
+    if (ask.most_out > 1) out.push_back(id + " had two call attempts out at once");
+    if (!ask.safe && ask.runs > 1)
+      out.push_back(id + " may not be repeated and ran " + std::to_string(ask.runs) + " times");
+    for (const auto& [status, at] : ask.answers) {
+      if (status == 200 && ask.runs == 0) out.push_back(id + " was served and never ran");
+      if (!ask.safe && ask.runs > 0 && (status == 429 || status == 503)) {
+        out.push_back(id + " ran and was called harmless to repeat");
+      }
+    }
+  }
+  for (const auto& begin : begins_) {
+    const auto drains = drains_.find(begin.node);
+    if (drains == drains_.end()) continue;
+    for (const auto& drain : drains->second) {
+      if (begin.at > drain.from + kDrainGrace + slack && begin.at < drain.until) {
+        out.push_back(begin.id + " was sent to " + begin.node + " past its drain's grace");
+      }
+    }
+  }
+  return out;
+}
+
+double Rules::units_begun() const {
+  std::set<std::string> counted;
+  double units = 0;
+  for (const auto& begin : begins_) {
+    if (counted.insert(begin.id).second) units += asks_.at(begin.id).units;
+  }
+  return units;
+}
+
+double Rules::beyond_quota(const std::string& customer, double rate, double burst) const {
+  std::set<std::string> counted;  // a try counts once, when it is first sent on
+  std::optional<Time> before;
+  double store = burst, beyond = 0;
+  for (const auto& begin : begins_) {
+    const auto& ask = asks_.at(begin.id);
+    if (ask.customer != customer || !counted.insert(begin.id).second) continue;
+    if (before)
+      store = std::min(burst, store + rate * std::chrono::duration<double>(begin.at - *before).count());
+    before = begin.at;
+    if (store >= ask.units) {
+      store -= ask.units;
+    } else {
+      beyond += ask.units;
+    }
+  }
+  return beyond;
+}
+
+}  // namespace cranemux::testing
--- /dev/null
+++ b/testing/rules.h
@@ -0,0 +1,68 @@
+// The rules that any front must keep, checked from what clients and nodes saw. It shares nothing with the
+// program: what it knows comes from the wire.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cranemux::testing {
+
+class Rules {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+  using Span = std::chrono::nanoseconds;
+
+  // What clients do and see.
+  void asked(const std::string& id, bool safe, const std::string& customer, double units, Time at,
+             Span deadline);
+  void answered(const std::string& id, int status, Time at);
+  // What nodes see: the first byte and the end of a request on a connection, what came of it.
+  void begun(const std::string& id, const std::string& node, Time at);
+  void ran(const std::string& id);
+  void over(const std::string& id, Time at);  // answered, or its connection ended
+  // Asked before an attempt is taken for a second one out: whoever has one of that id looks whether its
+  // connection has ended, since ends and beginnings on different connections come in any order.
+  void watch(std::function<void(const std::string& id)> look) { looks_.push_back(std::move(look)); }
+  // What was told: a node drains, or serves again.
+  void drained(const std::string& node, Time at);
+  void serves(const std::string& node, Time at);
+
+  // Every rule that was broken, in words; empty if none was. `slack` is added to each time limit.
+  std::vector<std::string> broken(Span slack = std::chrono::milliseconds(250)) const;
+  // Units sent on of a customer beyond what a store of that rate and burst allows in any stretch of time.
+  double beyond_quota(const std::string& customer, double rate, double burst) const;
+  double units_begun() const;  // of all requests that were sent on, each once
+  std::size_t asked_count() const { return asks_.size(); }
+  std::size_t answers(int status) const;
+  std::size_t runs(const std::string& id) const;
+
+ private:
+  struct Ask {
+    bool safe = true;
+    std::string customer;
+    double units = 1;
+    Time at;
+    Span deadline{};
+    std::vector<std::pair<int, Time>> answers;
+    std::size_t runs = 0;
+    int out = 0, most_out = 0;
+  };
+  struct Begin {
+    std::string id, node;
+    Time at;
+  };
+  struct Drain {
+    Time from, until;
+  };
+
+  std::map<std::string, Ask> asks_;
+  std::vector<Begin> begins_;
+  std::vector<std::function<void(const std::string&)>> looks_;
+  std::map<std::string, std::vector<Drain>> drains_;
+};
+
+}  // namespace cranemux::testing
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -247,6 +247,18 @@
   EXPECT_LE(door.sends.size(), 10U);
 }
 
+// A lone gateway is its own keeper, and asks itself as often as it likes: the guard against floods of
+// messages held requests back until they were refused with half of the store left.
+TEST(Ledger, ALoneGatewayGrantsWhatItsStoreHoldsAtOnce) {
+  Door door(lone_door());
+  for (int i = 0; i < 6; ++i) {
+    door.feed({door.request("r" + std::to_string(i), "rate")});
+    door.run(door.now + 3 * kMs);
+  }
+  door.run(door.now + 20 * kMs);
+  EXPECT_EQ(door.sends.size(), 6U);
+}
+
 // Both doors are offered all that `customers` ask for, answer at once, and exchange what they tell.
 std::size_t offer_and_exchange(Door& a, Door& b, int customers, int each, const std::string& tag) {
   for (int c = 0; c < customers; ++c) {
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -27,6 +27,8 @@
 #include <string>
 #include <vector>
 
+#include "testing/program.h"
+
 #undef NDEBUG
 #include <cassert>
 
@@ -285,8 +287,7 @@
       assert(::bind(collectd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
              ::listen(collectd_, 8) == 0);
     }
-    Listener free;
-    port_ = free.shut();
+    port_ = cranemux::testing::free_port();
     if (worker_port_ == 0) worker_port_ = worker_.port;
     configure(discovery_.port, limits_);
     std::ofstream(folder_ + "-graphql.json") << "{\"listen\":" << here(port_) << ",\"servers\":["
