--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // cranemux: the command line.
+#include <malloc.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -32,6 +33,13 @@
   std::string level = "info", form = "text";
 };
 
+// The tree that the file was read into is many times its size, and gone: back to the system with it.
+config::Services read_services(const std::string& file) {
+  auto services = config::load_services(file, environment);
+  ::malloc_trim(0);
+  return services;
+}
+
 int serve(const LogOptions& log, const Options& options, const std::string& file) {
   metrics::Logger logger(STDERR_FILENO, *metrics::level_named(log.level),
                          log.form == "json" ? metrics::LogForm::json : metrics::LogForm::text);
@@ -40,7 +48,7 @@
   if (file.empty()) {
     gatekeeper.emplace(io, config::load(environment), options, logger);
   } else {
-    gatekeeper.emplace(io, config::load_services(file, environment), options, logger);
+    gatekeeper.emplace(io, read_services(file), options, logger);
   }
   net::asio::signal_set stops(io, SIGTERM, SIGINT);
   stops.async_wait([&](const boost::system::error_code& error, int) {
@@ -52,7 +60,7 @@
     if (signal == SIGUSR1) std::cerr << gatekeeper->counters() << std::flush;
     if (signal == SIGHUP && file.empty()) gatekeeper->reload([] { return config::reload(environment); });
     if (signal == SIGHUP && !file.empty()) {
-      gatekeeper->reload_services([&] { return config::load_services(file, environment); });
+      gatekeeper->reload_services([&] { return read_services(file); });
     }
     asks.async_wait(asked);
   };
