Read a file of services beside the serving thread; hold isolation's p99 to 2 ms

Need: a reload of 10,000 routes held every RPC up for 0.6 s, since YAML was read and the table compiled in the serving thread; services.isolation allowed 4 ms where its issue says 2.

Change: front::plan_services reads, checks and compiles all that can be made aside, by any thread; Aside runs it in a thread of its own and hands the plan to the serving thread, which only swaps. One at a time, the newest waits. serve, check-config and reload share it. services.reload_beside fails if RPCs are not answered while a file of 10,000 routes is being read. Isolation is judged on seven windows of 1 s, p99 within 2 ms (10 under sanitizers, whose pauses are their own).

--- a/bench/many_pools.cpp
+++ b/bench/many_pools.cpp
@@ -66,10 +66,19 @@
                 rig.program->resident_kb());
     measure(rig, rpcs, r);
     rig.file.pools["one-more"] = "nodes: [@n0]";
-    const auto at = Clock::now();
-    rig.reload();
-    const std::chrono::duration<double, std::milli> took = Clock::now() - at;
-    std::printf("reload with one pool more: %.0f ms from the signal to the counter\n", took.count());
+    Client meanwhile(rig.stage, rig.port);
+    rig.write();
+    rig.program->signal(SIGHUP);
+    meanwhile.pace(500, milliseconds(2000), [&](std::size_t) {
+      Ask ask;
+      ask.host = "s0.example.org";
+      return ask;
+    });
+    meanwhile.finish();
+    std::printf(
+        "reload with one pool more (%zu taken up): RPCs meanwhile p50 %.2f ms p99 %.2f ms, longest %.2f ms\n",
+        rig.counter("reloads"), percentile_ms(meanwhile.results(), 0.5),
+        percentile_ms(meanwhile.results(), 0.99), percentile_ms(meanwhile.results(), 1));
   }
   return 0;
 }
--- a/src/front/routed.h
+++ b/src/front/routed.h
@@ -21,7 +21,7 @@
 };
 
 struct Routing {  // one listener's, replaced as a whole at a reload
-  std::unique_ptr<routing::RouteTable> table;
+  std::shared_ptr<const routing::RouteTable> table;
   std::map<std::string, std::shared_ptr<PoolFront>, std::less<>> pools;
   bool by_class = false;  // a route names classes
 };
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -45,12 +45,6 @@
   return pool;
 }
 
-std::optional<front::GraphqlConfig> read_costs(const config::ListenerConfig& listener) {
-  if (listener.front != config::FrontKind::graphql) return std::nullopt;
-  return front::parse_graphql_config(config::read_file(listener.graphql_file, listener.name + ".graphql"),
-                                     false);
-}
-
 std::unique_ptr<front::Front> make_front(core::Core& core, const std::vector<std::string>& load_fields,
                                          const std::optional<front::GraphqlConfig>& graphql,
                                          metrics::Counters& counters) {
@@ -86,26 +80,28 @@
   open_exports(options);
 }
 
-Gatekeeper::Gatekeeper(net::asio::io_context& io, const config::Services& services, const Options& options,
+Gatekeeper::Gatekeeper(net::asio::io_context& io, const front::ServicesPlan& plan, const Options& options,
                        metrics::Logger& logger)
     : io_(io),
       logger_(logger),
-      name_(services.name),
-      services_(services),
+      name_(plan.services.name),
+      services_(plan.services),
       own_servers_(false),
       drain_timer_(io),
       reap_timer_(io),
-      shared_(pool::shared_of(config::totals_of(services.sockets, services.memory_mb))),
-      peers_(io, services.peer_listen, services.peers, logger, counters_) {
+      shared_(pool::shared_of(config::totals_of(services_->sockets, services_->memory_mb))),
+      peers_(io, services_->peer_listen, services_->peers, logger, counters_) {
+  const auto& services = *services_;
   peers_.tag_messages(services.peer_messages_per_s);
   pools_ = make_pools(services);
-  for (const auto& config : services.listeners) {
+  for (std::size_t i = 0; i < services.listeners.size(); ++i) {
+    const auto& config = services.listeners[i];
     Listener listener;
     listener.config = config;
     // What no pool answers is worded by a front of the first pool.
     const auto& first = *pools_.begin()->second.pool;
     auto plain = make_front(pools_.begin()->second.pool->core(), first.config().load_fields,
-                            read_costs(config), counters_);
+                            plan.listeners[i].graphql, counters_);
     auto routed = std::make_unique<front::RoutedFront>(std::move(plain), counters_);
     listener.routed = routed.get();
     listener.front = std::move(routed);
@@ -114,7 +110,7 @@
         *listener.front, logger, counters_);
     listeners_.push_back(std::move(listener));
   }
-  const auto routings = make_routings(services, pools_);
+  const auto routings = make_routings(plan, pools_);
   for (std::size_t i = 0; i < listeners_.size(); ++i) listeners_[i].routed->set(routings[i]);
   open_console(options);
   open_exports(options);
@@ -279,13 +275,11 @@
   return made;
 }
 
-Gatekeeper::Routings Gatekeeper::make_routings(const config::Services& services, const Members& members) {
+Gatekeeper::Routings Gatekeeper::make_routings(const front::ServicesPlan& plan, const Members& members) {
   Routings routings;
-  for (std::size_t i = 0; i < services.listeners.size(); ++i) {
-    const auto& listener = services.listeners[i];
-    const auto costs = read_costs(listener);
+  for (std::size_t i = 0; i < plan.listeners.size(); ++i) {
     auto routing = std::make_shared<front::Routing>();
-    routing->table = std::make_unique<routing::RouteTable>(listener.routes);
+    routing->table = plan.listeners[i].table;
     for (const auto& route : routing->table->routes()) {
       routing->by_class = routing->by_class || !route.classes.empty() || !route.overflow.empty();
       auto names =
@@ -293,7 +287,8 @@
       for (const auto& share : route.shares) names.push_back(share.pool);
       for (const auto& name : names) {
         auto& slot = routing->pools[name];
-        if (!slot) slot = make_pool_front(i, listener, members.at(name), costs);
+        if (!slot)
+          slot = make_pool_front(i, plan.services.listeners[i], members.at(name), plan.listeners[i].graphql);
       }
     }
     routings.push_back(std::move(routing));
@@ -301,13 +296,13 @@
   return routings;
 }
 
-void Gatekeeper::reload_services(const std::function<config::Services()>& read) {
+void Gatekeeper::reload_services(const std::function<front::ServicesPlan()>& read) {
   try {
-    const auto services = read();
-    if (services.listeners != services_->listeners) {
+    const auto plan = read();
+    if (plan.services.listeners != services_->listeners) {
       throw config::Error("listeners differ, which needs a restart");
     }
-    apply(services);
+    apply(plan);
     ++counters_.reloads;
   } catch (const std::exception& error) {
     ++counters_.reloads_rejected;
@@ -316,9 +311,10 @@
 }
 
 // All that may fail comes first; then one swap, between two turns. An RPC stays with the pool that took it.
-void Gatekeeper::apply(const config::Services& services) {
+void Gatekeeper::apply(const front::ServicesPlan& plan) {
+  const auto& services = plan.services;
   auto members = make_pools(services);
-  const auto routings = make_routings(services, members);
+  const auto routings = make_routings(plan, members);
   std::size_t added = 0, removed = 0;
   for (auto& [name, member] : members) {
     const auto old = pools_.find(name);
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -8,10 +8,10 @@
 #include <vector>
 
 #include "config/config.h"
-#include "config/services.h"
 #include "console/console.h"
 #include "front/graphql/graphql.h"
 #include "front/routed.h"
+#include "front/services_plan.h"
 #include "metrics/export.h"
 #include "peers/peers.h"
 #include "pool/pool.h"
@@ -33,14 +33,14 @@
   Gatekeeper(net::asio::io_context& io, const config::Config& config, const Options& options,
              metrics::Logger& logger);
   // Several services, as a file of ours has them.
-  Gatekeeper(net::asio::io_context& io, const config::Services& services, const Options& options,
+  Gatekeeper(net::asio::io_context& io, const front::ServicesPlan& plan, const Options& options,
              metrics::Logger& logger);
   ~Gatekeeper();
 
   void start();
   // As at SIGHUP. `read` brings the file checked, or throws; then all stays as it was.
   void reload(const std::function<config::Config()>& read);
-  void reload_services(const std::function<config::Services()>& read);
+  void reload_services(const std::function<front::ServicesPlan()>& read);
   std::string command(const std::string& line);  // of the console
   void drain();                                  // as at SIGTERM: answers what it has taken, then ends
   metrics::Counters counters() const;            // of the process and all its pools together
@@ -63,12 +63,12 @@
   void open_exports(const Options& options);
   Member make_pool(const config::PoolConfig& config, const Members& others);
   Members make_pools(const config::Services& services);
-  Routings make_routings(const config::Services& services, const Members& members);
+  Routings make_routings(const front::ServicesPlan& plan, const Members& members);
   std::shared_ptr<front::PoolFront> make_pool_front(std::size_t listener,
                                                     const config::ListenerConfig& config,
                                                     const Member& member,
                                                     const std::optional<front::GraphqlConfig>& costs);
-  void apply(const config::Services& services);
+  void apply(const front::ServicesPlan& plan);
   void forget(const Member& member);
   bool reclaim(const pool::Pool& asker);
   std::size_t in_flight() const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,11 +1,12 @@
 // cranemux: the command line.
-#include <malloc.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 
+#include "aside.h"
 #include "gatekeeper.h"
 
 namespace {
@@ -33,11 +34,17 @@
   std::string level = "info", form = "text";
 };
 
-// The tree that the file was read into is many times its size, and gone: back to the system with it.
-config::Services read_services(const std::string& file) {
-  auto services = config::load_services(file, environment);
-  ::malloc_trim(0);
-  return services;
+// Reads the file beside the serving thread; what it brings, a plan or a fault, is taken up by that thread.
+void reload_beside(Aside& aside, Gatekeeper& gatekeeper, const std::string& file) {
+  aside.run([&gatekeeper, file]() -> Aside::Then {
+    auto read = std::make_shared<std::promise<front::ServicesPlan>>();
+    try {
+      read->set_value(front::plan_services(file, environment));
+    } catch (...) {
+      read->set_exception(std::current_exception());
+    }
+    return [&gatekeeper, read] { gatekeeper.reload_services([&read] { return read->get_future().get(); }); };
+  });
 }
 
 int serve(const LogOptions& log, const Options& options, const std::string& file) {
@@ -48,20 +55,19 @@
   if (file.empty()) {
     gatekeeper.emplace(io, config::load(environment), options, logger);
   } else {
-    gatekeeper.emplace(io, read_services(file), options, logger);
+    gatekeeper.emplace(io, front::plan_services(file, environment), options, logger);
   }
   net::asio::signal_set stops(io, SIGTERM, SIGINT);
   stops.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper->drain();
   });
+  Aside aside(io);
   net::asio::signal_set asks(io, SIGUSR1, SIGHUP);
   std::function<void(const boost::system::error_code&, int)> asked = [&](const auto& error, int signal) {
     if (error) return;
     if (signal == SIGUSR1) std::cerr << gatekeeper->counters() << std::flush;
     if (signal == SIGHUP && file.empty()) gatekeeper->reload([] { return config::reload(environment); });
-    if (signal == SIGHUP && !file.empty()) {
-      gatekeeper->reload_services([&] { return read_services(file); });
-    }
+    if (signal == SIGHUP && !file.empty()) reload_beside(aside, *gatekeeper, file);
     asks.async_wait(asked);
   };
   asks.async_wait(asked);
@@ -73,12 +79,9 @@
 }
 
 int check_services(const std::string& file) {
-  const auto services = config::load_services(file, environment);
+  const auto plan = front::plan_services(file, environment);
+  const auto& services = plan.services;
   for (const auto& listener : services.listeners) {
-    if (!listener.graphql_file.empty()) {
-      front::parse_graphql_config(config::read_file(listener.graphql_file, listener.name + ".graphql"),
-                                  false);
-    }
     std::cout << "listener " << listener.name << " on " << listener.listen.host << ':' << listener.listen.port
               << (listener.front == config::FrontKind::graphql ? " graphql" : " platform") << '\n';
     for (const auto& route : listener.routes) std::cout << "  route " << routing::describe(route) << '\n';
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -132,6 +132,8 @@
 // One pool's nodes slow down threefold in mid-run. Judged by the median over windows, each against the run
 // before.
 TEST_F(services, isolation) {
+  constexpr milliseconds kWindow{1000};
+  constexpr int kWindows = 7;
   set_nodes({"q1", "q2", "b1", "b2"}, {Answer::good, milliseconds(40)});
   rig.start();
   Client quotes(rig.stage, rig.port, &rig.rules, "q"), bookings(rig.stage, rig.port, &rig.rules, "b");
@@ -141,26 +143,27 @@
   };
   const auto window = [&] {
     const auto start = Clock::now();
-    bookings.pace(80, milliseconds(700), mixed);
+    bookings.pace(80, kWindow, mixed);
     return start;
   };
   const auto median_of = [&](std::vector<Clock::time_point> starts, double p) {
     std::vector<double> all;
     for (const auto start : starts) {
-      all.push_back(percentile_ms(bookings.results(), p, start, start + milliseconds(700)));
+      all.push_back(percentile_ms(bookings.results(), p, start, start + kWindow));
     }
     std::sort(all.begin(), all.end());
     return all[all.size() / 2];
   };
   window();  // connections come up
   std::vector<Clock::time_point> before, after;
-  for (int i = 0; i < 5; ++i) before.push_back(window());
+  for (int i = 0; i < kWindows; ++i) before.push_back(window());
   set_nodes({"q1", "q2"}, {Answer::good, milliseconds(120)});
-  for (int i = 0; i < 5; ++i) after.push_back(window());
+  for (int i = 0; i < kWindows; ++i) after.push_back(window());
   ASSERT_TRUE(bookings.finish());
   ASSERT_TRUE(quotes.finish());
   EXPECT_NEAR(median_of(after, 0.5), median_of(before, 0.5), 2);
-  EXPECT_NEAR(median_of(after, 0.99), median_of(before, 0.99), 2 + (kSanitized ? 8 : 2));
+  // The sanitizers' own pauses are no figure of the program's.
+  EXPECT_NEAR(median_of(after, 0.99), median_of(before, 0.99), kSanitized ? 10 : 2);
   EXPECT_EQ(bookings.count(200), bookings.results().size());
 }
 
@@ -498,6 +501,31 @@
       << rig.console("pools");
 }
 
+// A file that takes long to read holds no RPC up: some are answered while it is being read.
+TEST_F(services, reload_beside) {
+  rig.start();
+  for (int i = 0; i < 10'000; ++i) {
+    rig.file.routes.push_back("host: s" + std::to_string(i) + ".example.org, pool: quote");
+  }
+  rig.write();
+  Client client(rig.stage, rig.port, &rig.rules);
+  rig.program->signal(SIGHUP);
+  std::size_t meanwhile = 0;
+  const auto begin = Clock::now();
+  while (Clock::now() < begin + std::chrono::seconds(60)) {
+    client.send(to("quote.example.org", 1));
+    ASSERT_TRUE(client.finish());
+    if (rig.counter("reloads") > 0) break;
+    ++meanwhile;
+  }
+  EXPECT_EQ(rig.counter("reloads"), 1U);
+  EXPECT_GT(meanwhile, 0U);
+  EXPECT_EQ(client.count(200), client.results().size());
+  client.send(to("s77.example.org", 1));
+  ASSERT_TRUE(client.finish());
+  EXPECT_EQ(client.results().back().status, 200);
+}
+
 TEST_F(services, reload_faulty) {
   rig.start();
   Client client(rig.stage, rig.port, &rig.rules);
