--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -117,7 +117,10 @@
 net::awaitable<void> Attempts::run(std::shared_ptr<Call> call) {
   core::AttemptResult result;
   result.result = Result::connect_failed;
-  if (call->worker && call->stop == Stop::none) {
+  auto own = static_cast<const Exchange&>(*call->payload).own_answer();
+  if (own && call->stop == Stop::none) {
+    result = std::move(*own);
+  } else if (call->worker && call->stop == Stop::none) {
     const auto generation = call->worker->generation;
     ++call->worker->busy;
     limit(call, std::min(call->give_up, call->started + limits_.connect_timeout));
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +21,8 @@
  public:
   virtual std::string message(std::chrono::milliseconds patience) const = 0;
   virtual core::AttemptResult read(const http::Message& answer) const = 0;
+  // What the gatekeeper answers itself, without a worker; nothing goes out then.
+  virtual std::optional<core::AttemptResult> own_answer() const { return std::nullopt; }
 };
 
 struct Limits {
--- a/src/config/graphql_file.cpp
+++ b/src/config/graphql_file.cpp
@@ -15,7 +15,8 @@
     const auto root = yaml_.root();
     if (yaml_.map(root, "",
                   {"listen", "path", "servers", "classes", "limits", "object_cost", "leaf_cost", "usual_size",
-                   "fields", "schema", "booking_fields", "persisted", "cache", "cost_in_answers"})) {
+                   "fields", "schema", "booking_fields", "persisted", "cache", "cost_in_answers",
+                   "introspection"})) {
       if (alone) servers(root);
       out_.path = yaml_.text(root, "path", "", out_.path);
       if (!out_.path.starts_with('/')) yaml_.fault(root["path"], "path", "must start with /");
@@ -25,6 +26,7 @@
       schema(root);
       persisted(root["persisted"]);
       out_.engine.cache_bytes = yaml_.bytes(root, "cache", "", out_.engine.cache_bytes);
+      out_.engine.introspection = yaml_.flag(root, "introspection", "", true);
       out_.cost_in_answers = yaml_.flag(root, "cost_in_answers", "", false);
     }
     if (!yaml_.faults().empty()) throw Error(describe(file_, yaml_.faults()));
--- a/src/front/graphql/exchange.cpp
+++ b/src/front/graphql/exchange.cpp
@@ -119,6 +119,19 @@
   return result;
 }
 
+std::optional<core::AttemptResult> GraphqlExchange::own_answer() const {
+  const bool all =
+      std::all_of(admitted_.begin(), admitted_.end(), [](const auto& one) { return one.introspects; });
+  if (!all) return std::nullopt;
+  core::AttemptResult result;
+  for (const auto& one : admitted_) {
+    result.body += (result.body.empty() ? "" : ",") + one.own_answer();
+    result.true_units += one.units;
+  }
+  if (batch_) result.body = "[" + result.body + "]";
+  return result;
+}
+
 // `cost`: what the server tells, else what the answer's shape tells, else what was asked.
 bool GraphqlExchange::read_one(const json::Value& answer, const graphql::Admitted& asked,
                                double& cost) const {
--- a/src/front/graphql/exchange.h
+++ b/src/front/graphql/exchange.h
@@ -18,6 +18,7 @@
   // A well-formed answer is one, even if it tells of errors: the server has seen the operation. One that does
   // not fit what was asked is spoilt: a failed attempt that may have run.
   core::AttemptResult read(const http::Message& answer) const override;
+  std::optional<core::AttemptResult> own_answer() const override;  // of introspection alone
 
  private:
   bool read_one(const json::Value& answer, const graphql::Admitted& asked, double& cost) const;
--- a/src/graphql/cost.cpp
+++ b/src/graphql/cost.cpp
@@ -12,101 +12,118 @@
 
 constexpr double kMostSize = 1e9;
 
-struct Member {  // a field as it stands in a merged set
-  const Selection* node;
-  const Type* parent;
-  const Field* field;
-  bool operator<(const Member& other) const {
-    return std::tie(node, parent) < std::tie(other.node, other.parent);
-  }
-  bool operator==(const Member& other) const { return node == other.node && parent == other.parent; }
-};
 struct Sized {  // what a field above says of the lists below it
   std::vector<std::string_view> fields;
   double size = 1;
-  bool operator<(const Sized& other) const {
-    return std::tie(size, fields) < std::tie(other.size, other.fields);
-  }
+  bool operator==(const Sized&) const = default;
 };
 
 double weight_of(const Type& type) { return type.weight.value_or(type.composite() ? 1 : 0); }
 
+struct SizedHash {
+  std::size_t operator()(const std::pair<Members, Sized>& key) const {
+    return SetHash{}(key.first) * 31 + static_cast<std::size_t>(key.second.size);
+  }
+};
+
 class Pricer {
  public:
-  Pricer(const Schema& schema, const Document& document, const Variables& variables,
+  Pricer(const Schema& schema, const FragmentIndex& fragments, const Variables& variables,
          const CostOptions& options, const Limits& limits, Priced& out)
-      : schema_(schema), variables_(variables), options_(options), budget_(limits.fields), out_(out) {
-    for (const auto& fragment : document.fragments) fragments_.emplace(fragment.name, &fragment);
-  }
+      : schema_(schema),
+        fragments_(fragments),
+        variables_(variables),
+        options_(options),
+        budget_(limits.fields),
+        out_(out) {}
 
   void run(const Operation& operation) {
     out_.root = schema_.root(operation.kind);
     // A mutation is a booking, whatever its fields are called: it may have an effect.
     out_.booking = operation.kind == OperationKind::mutation;
-    std::vector<Member> members;
-    std::unordered_set<std::string_view> spread;
-    collect(operation.selections, out_.root, members, spread);
+    Members members(&arena_);
+    Names spread(&arena_);
+    collect(operation.selections, out_.root, false, members, spread);
     out_.shape = shape(std::move(members), *out_.root, {});
     out_.units = std::max(0.0, out_.shape->cost);
   }
 
  private:
-  bool taken(const std::vector<Directive>& directives) const {
+  // ---- variables ----
+  void note(const Value& value) {
+    if (value.kind == ValueKind::variable) {
+      for (const auto& [name, told] : out_.went_by) {
+        if (name == value.text) return;
+      }
+      out_.went_by.emplace_back(value.text, resolve(value, variables_));
+    }
+    for (const auto& item : value.items) note(item);
+    for (const auto& member : value.members) note(member.value);
+  }
+  std::optional<json::Value> value_of(const Input& input, const std::vector<Argument>& written) {
+    for (const auto& argument : written) {
+      if (argument.name == input.name) note(argument.value);
+    }
+    return argument_value(input, written, variables_);
+  }
+
+  bool taken(const std::vector<Directive>& directives) {
     return std::all_of(directives.begin(), directives.end(), [this](const Directive& directive) {
       const bool include = directive.name == "include";
       if (!include && directive.name != "skip") return true;
+      note(directive.arguments.front().value);
       const auto value = resolve(directive.arguments.front().value, variables_);
       return value && value->boolean() && *value->boolean() == include;
     });
   }
 
-  void collect(const std::vector<Selection>& selections, const Type* parent, std::vector<Member>& into,
-               std::unordered_set<std::string_view>& spread) {
-    for (const auto& s : selections) {
-      budget_.spend();
-      if (!taken(s.directives)) continue;
-      if (s.kind == SelectionKind::field) {
-        into.push_back({&s, parent, schema_.field(*parent, s.name)});
-      } else if (s.kind == SelectionKind::inlined) {
-        collect(s.selections, s.name.empty() ? parent : schema_.type(s.name), into, spread);
-      } else if (spread.insert(s.name).second) {
-        const auto& fragment = *fragments_.at(s.name);
-        collect(fragment.selections, schema_.type(fragment.condition), into, spread);
-      }
-    }
+  void collect(const std::vector<Selection>& selections, const Type* parent, bool shared, Members& into,
+               Names& spread) {
+    collect_fields(
+        schema_, fragments_, budget_, selections, parent, shared,
+        [this](const Selection& s) { return taken(s.directives); }, into, spread);
   }
 
   // The same fields below the same type are worked out once, however often they are asked for.
-  const Shape* shape(std::vector<Member> members, const Type& type, const Sized& sized) {
-    std::sort(members.begin(), members.end());
-    members.erase(std::unique(members.begin(), members.end()), members.end());
-    auto [known, fresh] = known_.emplace(std::tuple{&type, sized, members}, nullptr);
-    if (!fresh) return known->second;
-    auto& slot = known->second;  // map's nodes stay where they are
-    Shape made;
-    for (auto& objects : alike_objects(members, type)) {
-      auto variant = this->variant(members, std::move(objects), sized);
-      double cost = 0;
-      for (const auto& entry : variant.entries) {
-        cost += entry.own + entry.size * (entry.item_weight + (entry.below ? entry.below->cost : 0));
-      }
-      made.cost = made.variants.empty() ? cost : std::max(made.cost, cost);
-      made.variants.push_back(std::move(variant));
+  const Shape* shape(Members members, const Type& type, const Sized& sized) {
+    sort_by_key(members);
+    const bool shared = any_shared(members);
+    std::pair<Members, Sized> key{std::move(members), sized};
+    if (shared) {
+      const auto known = known_.find(key);
+      if (known != known_.end()) return known->second;
     }
-    slot = &out_.shapes.emplace_back(std::move(made));
-    return slot;
-  }
-
-  // The objects that a value may be, by which of the members they answer.
-  std::vector<std::vector<const Type*>> alike_objects(const std::vector<Member>& members, const Type& type) {
-    std::vector<const Type*> parents;
-    for (const auto& member : members) {
+    auto& made = out_.shapes.emplace_back();
+    std::pmr::vector<const Type*> parents(&arena_);
+    for (const auto& member : key.first) {
       if (member.parent != &type &&
           std::find(parents.begin(), parents.end(), member.parent) == parents.end()) {
         parents.push_back(member.parent);
       }
     }
-    if (parents.empty()) return {type.possible};
+    if (parents.empty()) {
+      add_variant(made, variant(key.first, nullptr, sized));
+    } else {
+      for (auto& objects : alike_objects(parents, type)) {
+        auto one = variant(key.first, objects.front(), sized);
+        one.objects = std::move(objects);
+        add_variant(made, std::move(one));
+      }
+    }
+    if (shared) known_.emplace(std::move(key), &made);
+    return &made;
+  }
+
+  static void add_variant(Shape& shape, Variant variant) {
+    double cost = 0;
+    for (const auto& entry : variant.entries) cost += cost_of(entry);
+    shape.cost = shape.variants.empty() ? cost : std::max(shape.cost, cost);
+    shape.variants.push_back(std::move(variant));
+  }
+
+  // The objects that a value may be, by which of the members they answer.
+  std::vector<std::vector<const Type*>> alike_objects(const std::pmr::vector<const Type*>& parents,
+                                                      const Type& type) {
     std::map<std::vector<bool>, std::vector<const Type*>> groups;
     for (const auto* object : type.possible) {
       budget_.spend(parents.size());
@@ -119,42 +136,44 @@
     return out;
   }
 
-  Variant variant(const std::vector<Member>& members, std::vector<const Type*> objects, const Sized& sized) {
-    std::vector<const Member*> mine;
-    for (const auto& member : members) {
-      if (objects.empty() || member.parent->may_be(*objects.front())) mine.push_back(&member);
-    }
-    std::stable_sort(mine.begin(), mine.end(),
-                     [](const auto* a, const auto* b) { return a->node->key() < b->node->key(); });
+  // `object`: the type of the value, or any where all members are of the set's own.
+  Variant variant(const Members& members, const Type* object, const Sized& sized) {
     Variant out;
-    out.objects = std::move(objects);
-    for (std::size_t from = 0; from < mine.size();) {
-      auto until = from;
-      while (until < mine.size() && mine[until]->node->key() == mine[from]->node->key()) ++until;
-      out.entries.push_back(entry({mine.begin() + static_cast<std::ptrdiff_t>(from),
-                                   mine.begin() + static_cast<std::ptrdiff_t>(until)},
-                                  sized));
+    Members mine(&arena_);
+    const auto* set = &members;
+    if (object) {
+      for (const auto& member : members) {
+        if (member.parent->may_be(*object)) mine.push_back(member);
+      }
+      set = &mine;
+    }
+    out.entries.reserve(set->size());
+    for (auto from = set->cbegin(); from != set->cend();) {
+      const auto until = end_of_key(from, set->cend());
+      out.entries.push_back(entry(&*from, static_cast<std::size_t>(until - from), sized));
       from = until;
     }
     return out;
   }
 
-  Entry entry(const std::vector<const Member*>& members, const Sized& sized) {
-    const auto& node = *members.front()->node;
-    const auto& field = *members.front()->field;
+  Entry entry(const Member* members, std::size_t count, const Sized& sized) {
+    const auto& node = *members->node;
+    const auto& field = *members->field;
     Entry out;
     out.key = node.key();
     out.field = &field;
     out.own = field.weight.value_or(0);
     for (const auto& input : field.arguments) out.own += argument_cost(input, node.arguments);
     out.item_weight = weight_of(*field.type.named);
-    if (field.booking || named_booking(*members.front())) out_.booking = true;
+    if (field.booking || named_booking(*members)) out_.booking = true;
     Sized below;
     out.size = size_of(field, node, sized, below);
     if (!field.type.named->composite()) return out;
-    std::vector<Member> merged;
-    std::unordered_set<std::string_view> spread;
-    for (const auto* member : members) collect(member->node->selections, field.type.named, merged, spread);
+    Members merged(&arena_);
+    Names spread(&arena_);
+    for (std::size_t i = 0; i < count; ++i) {
+      collect(members[i].node->selections, field.type.named, members[i].shared, merged, spread);
+    }
     out.below = shape(std::move(merged), *field.type.named, below);
     return out;
   }
@@ -168,7 +187,7 @@
   // ---- arguments ----
   double argument_cost(const Input& input, const std::vector<Argument>& written) {
     if (!input.weight && input.type.named->kind != TypeKind::input) return 0;
-    const auto value = argument_value(input, written, variables_);
+    const auto value = value_of(input, written);
     return value ? input_cost(input, *value) : 0;
   }
 
@@ -224,7 +243,7 @@
         const bool written = std::any_of(node.arguments.begin(), node.arguments.end(),
                                          [&](const auto& argument) { return argument.name == name; });
         if (written == by_default) continue;
-        const auto value = argument_value(input, node.arguments, variables_);
+        const auto value = value_of(input, node.arguments);
         if (!value || value->is_null()) continue;
         most = std::max(most, size_told(*value, name, node));
         ++told;
@@ -258,12 +277,14 @@
   }
 
   const Schema& schema_;
+  const FragmentIndex& fragments_;
   const Variables& variables_;
   const CostOptions& options_;
   Budget budget_;
   Priced& out_;
-  Fragments fragments_;
-  std::map<std::tuple<const Type*, Sized, std::vector<Member>>, const Shape*> known_;
+  std::byte first_[16 * 1024];
+  std::pmr::monotonic_buffer_resource arena_{first_, sizeof first_};
+  std::pmr::unordered_map<std::pair<Members, Sized>, const Shape*, SizedHash> known_{&arena_};
 };
 
 // ---- answers ----
@@ -351,7 +372,7 @@
     return std::all_of(members.begin(), members.end(), [&](const auto& member) {
       const auto at =
           std::lower_bound(variant.entries.begin(), variant.entries.end(), member.first,
-                           [](const Entry& entry, std::string_view key) { return entry.key < key; });
+                           [](const Entry& entry, std::string_view key) { return key_less(entry.key, key); });
       return at != variant.entries.end() && at->key == member.first;
     });
   }
@@ -372,14 +393,26 @@
 
 }  // namespace
 
-std::shared_ptr<const Priced> price(const Schema& schema, const Document& document,
+double cost_of(const Entry& entry) {
+  return entry.own + entry.size * (entry.item_weight + (entry.below ? entry.below->cost : 0));
+}
+
+std::shared_ptr<const Priced> price(const Schema& schema, const FragmentIndex& fragments,
                                     const Operation& operation, const Variables& variables,
                                     const CostOptions& options, const Limits& limits) {
   auto out = std::make_shared<Priced>();
-  Pricer(schema, document, variables, options, limits, *out).run(operation);
+  Pricer(schema, fragments, variables, options, limits, *out).run(operation);
   return out;
 }
 
+bool same_price(const Priced& priced, const Variables& variables) {
+  return std::all_of(priced.went_by.begin(), priced.went_by.end(), [&](const auto& one) {
+    const auto at = variables.find(one.first);
+    if (at == variables.end() || !one.second) return at == variables.end() && !one.second;
+    return at->second == *one.second;
+  });
+}
+
 Settled settle(const Priced& priced, const json::Value& answer) { return Settling().run(priced, answer); }
 
 }  // namespace cranemux::graphql
--- a/src/graphql/cost.h
+++ b/src/graphql/cost.h
@@ -31,9 +31,10 @@
   double item_weight = 0;        // of one item's type
   const Shape* below = nullptr;  // none: a leaf
 };
-struct Variant {  // what a value of these objects answers with
+double cost_of(const Entry& entry);  // with all below it
+struct Variant {                     // what a value of these objects answers with
   std::vector<const Type*> objects;
-  std::vector<Entry> entries;  // sorted by key
+  std::vector<Entry> entries;  // in the order of key_less()
 };
 struct Shape {
   std::vector<Variant> variants;
@@ -48,6 +49,8 @@
   const Type* root = nullptr;
   const Shape* shape = nullptr;
   std::deque<Shape> shapes;  // `shape` and all below it
+  // The variables that the price went by: with the same values it is the same.
+  std::vector<std::pair<std::string_view, std::optional<json::Value>>> went_by;
 };
 
 struct CostOptions {
@@ -55,11 +58,14 @@
   std::vector<std::string> booking;  // fields by `Type.field`, besides those with @booking
 };
 
-// The document is valid. Throws Error: BAD_USER_INPUT for a size that is none, GRAPHQL_VALIDATION_FAILED
-// where one slicing argument is wanted and another number is given, QUERY_TOO_LARGE past the budget.
-std::shared_ptr<const Priced> price(const Schema& schema, const Document& document,
+// The operation is of a valid document. Throws Error: BAD_USER_INPUT for a size that is none,
+// GRAPHQL_VALIDATION_FAILED where one slicing argument is wanted and another number is given, QUERY_TOO_LARGE
+// past the budget.
+std::shared_ptr<const Priced> price(const Schema& schema, const FragmentIndex& fragments,
                                     const Operation& operation, const Variables& variables,
                                     const CostOptions& options, const Limits& limits);
+// Is that the price with these variables, too?
+bool same_price(const Priced& priced, const Variables& variables);
 
 // Does an answer fit, and what did it cost? `answer` is the whole: data, errors, extensions.
 struct Settled {
--- a/src/graphql/documents.h
+++ b/src/graphql/documents.h
@@ -17,10 +17,16 @@
 
 // A document as it may run, and what it was checked against.
 struct Checked {
-  Document document;
+  explicit Checked(Document read) : document(std::move(read)), fragments(document) {}
+  const Document document;
+  const FragmentIndex fragments;
   std::shared_ptr<const Schema> schema;  // none: costs by fields
-  // The price of its operations without variables, which never differs.
-  mutable std::map<std::string, std::shared_ptr<const Priced>, std::less<>> priced;
+  // The last prices of its operations, the newest last; see same_price().
+  struct Price {
+    const Operation* operation;
+    std::shared_ptr<const Priced> priced;
+  };
+  mutable std::vector<Price> prices;
 };
 
 // SHA-256 (FIPS 180-4) in 64 lower-case hex digits.
--- a/src/graphql/engine.cpp
+++ b/src/graphql/engine.cpp
@@ -141,12 +141,11 @@
 
 std::shared_ptr<const Checked> Engine::checked(const std::string& text) {
   if (auto known = store_.find(text)) return known;
-  auto made = std::make_shared<Checked>();
+  auto made = std::make_shared<Checked>(parse(text, config_.limits));
   made->schema = schema_;
-  made->document = parse(text, config_.limits);
   check_sizes(made->document, config_.limits);
   if (schema_) {
-    const auto faults = validate(*schema_, made->document, config_.limits);
+    const auto faults = validate(*schema_, made->document, made->fragments, config_.limits);
     if (!faults.empty()) {
       std::vector<Rejected::Problem> problems;
       for (const auto& fault : faults)
@@ -171,20 +170,46 @@
     out.booking = price.booking;
     return;
   }
-  auto& kept = out.checked->priced;
-  const bool fixed = operation.variables.empty();
-  if (const auto known = kept.find(operation.name); fixed && known != kept.end()) {
-    out.priced = known->second;
-  } else {
-    const auto values = coerce_variables(*schema_, operation, variables);
-    out.priced =
-        graphql::price(*schema_, out.checked->document, operation, values, config_.options, config_.limits);
-    if (fixed) kept.emplace(std::string(operation.name), out.priced);
+  const auto introspection = introspection_of(out.checked->document, operation);
+  const bool tells = introspection == Introspection::some || introspection == Introspection::all;
+  if (tells && !config_.introspection) {
+    throw Error("INTROSPECTION_DISABLED", "this service does not tell its schema: ask its operators for it");
+  }
+  auto values = coerce_variables(*schema_, operation, variables);
+  out.priced = priced(*out.checked, operation, values);
+  if (introspection == Introspection::name || introspection == Introspection::all) {
+    out.introspects = &operation;
+    out.variables = std::move(values);
   }
   out.units = out.priced->units;
   out.booking = out.priced->booking;
 }
 
+// A client's screens ask the same with the same few sizes again and again.
+std::shared_ptr<const Priced> Engine::priced(const Checked& checked, const Operation& operation,
+                                             const Variables& values) const {
+  constexpr std::size_t kKept = 8;
+  for (const auto& price : checked.prices) {
+    if (price.operation == &operation && same_price(*price.priced, values)) return price.priced;
+  }
+  auto made = graphql::price(*schema_, checked.fragments, operation, values, config_.options, config_.limits);
+  if (checked.prices.size() == kKept) checked.prices.erase(checked.prices.begin());
+  checked.prices.push_back({&operation, made});
+  return made;
+}
+
+std::string Admitted::own_answer() const {
+  try {
+    return introspect(*checked->schema, checked->document, *introspects, variables);
+  } catch (const Error& error) {
+    std::string out = R"({"errors":[{"message":)";
+    json::write_string(out, error.what());
+    out += R"(,"extensions":{"code":)";
+    json::write_string(out, error.code);
+    return out + "}}]}";
+  }
+}
+
 const Operation& pick(const Document& document, std::string_view name) {
   const auto& all = document.operations;
   if (all.empty()) throw Error("OPERATION_NOT_FOUND", "the document holds no operation");
--- a/src/graphql/engine.h
+++ b/src/graphql/engine.h
@@ -8,6 +8,7 @@
 
 #include "graphql/documents.h"
 #include "graphql/field_costs.h"
+#include "graphql/introspection.h"
 
 namespace cranemux::graphql {
 
@@ -19,6 +20,7 @@
   bool automatic = false;                      // persisted documents that clients register
   std::map<std::string, std::string> trusted;  // by hash
   bool only_trusted = false;
+  bool introspection = true;  // answered here, from the schema
   std::size_t cache_bytes = 4 * 1024 * 1024;
 };
 
@@ -42,6 +44,10 @@
   std::string text;                        // of the document, for the server
   std::shared_ptr<const Checked> checked;  // keeps what `priced` points into
   std::shared_ptr<const Priced> priced;    // with a schema
+  // Of introspection alone, with a schema: answered by `own_answer`, by no server.
+  const Operation* introspects = nullptr;
+  Variables variables;  // of such an operation
+  std::string own_answer() const;
 };
 
 class Engine {
@@ -59,6 +65,8 @@
   std::string text_of(const json::Value& request);
   std::string registered(const std::string& hash, const json::Value* query);
   std::shared_ptr<const Checked> checked(const std::string& text);
+  std::shared_ptr<const Priced> priced(const Checked& checked, const Operation& operation,
+                                       const Variables& values) const;
   void price(const Operation& operation, const json::Value* told, Admitted& out) const;
 
   const EngineConfig config_;
--- /dev/null
+++ b/src/graphql/field_sets.h
@@ -0,0 +1,115 @@
+// Selection sets with their fragments spread: what field merging, pricing and settling look at. Working
+// memory comes from one arena and goes at once.
+#pragma once
+
+#include <algorithm>
+#include <memory_resource>
+#include <unordered_map>
+#include <vector>
+
+#include "graphql/schema.h"
+
+namespace cranemux::graphql {
+
+// Steps that a check may take; past them the document is too large.
+class Budget {
+ public:
+  explicit Budget(std::size_t steps) : left_(steps) {}
+  void spend(std::size_t steps = 1) {
+    if (steps > left_) over();
+    left_ -= steps;
+  }
+
+ private:
+  [[noreturn]] static void over();  // throws Error with QUERY_TOO_LARGE
+  std::size_t left_;
+};
+
+class FragmentIndex {
+ public:
+  explicit FragmentIndex(const Document& document);
+  const Fragment* find(std::string_view name) const {  // the first of that name
+    const auto at = by_name_.find(name);
+    return at == by_name_.end() ? nullptr : at->second.fragment;
+  }
+  // Spread more than once: what it selects may be met in several sets.
+  bool shared(std::string_view name) const {
+    const auto at = by_name_.find(name);
+    return at != by_name_.end() && at->second.spreads > 1;
+  }
+
+ private:
+  struct Known {
+    const Fragment* fragment;
+    std::size_t spreads = 0;
+  };
+  void count(const std::vector<Selection>& selections);
+  std::unordered_map<std::string_view, Known> by_name_;
+};
+
+struct Member {  // a field as it stands in a merged set
+  const Selection* node;
+  const Type* parent;
+  const Field* field;
+  bool shared;  // may be met in other sets, too
+  bool operator==(const Member& other) const { return node == other.node && parent == other.parent; }
+};
+using Members = std::pmr::vector<Member>;
+using Names = std::pmr::vector<std::string_view>;
+
+// CollectFields (section 6.3.2) without regard to types: each field with the type that it was selected on.
+// Fields and types that do not exist are passed over. `taken` says whether a selection with directives
+// counts.
+template <typename Taken>
+void collect_fields(const Schema& schema, const FragmentIndex& fragments, Budget& budget,
+                    const std::vector<Selection>& selections, const Type* parent, bool shared,
+                    const Taken& taken, Members& into, Names& spread) {
+  for (const auto& s : selections) {
+    budget.spend();
+    if (!s.directives.empty() && !taken(s)) continue;
+    if (s.kind == SelectionKind::field) {
+      const auto* field = parent ? schema.field(*parent, s.name) : nullptr;
+      if (field) into.push_back({&s, parent, field, shared});
+    } else if (s.kind == SelectionKind::inlined) {
+      const auto* type = s.name.empty() ? parent : schema.type(s.name);
+      collect_fields(schema, fragments, budget, s.selections, type, shared, taken, into, spread);
+    } else if (const auto* fragment = fragments.find(s.name)) {
+      if (std::find(spread.begin(), spread.end(), fragment->name) != spread.end()) continue;
+      budget.spend(spread.size() / 8);
+      spread.push_back(fragment->name);
+      collect_fields(schema, fragments, budget, fragment->selections, schema.type(fragment->condition),
+                     shared || fragments.shared(s.name), taken, into, spread);
+    }
+  }
+}
+
+// Any total order will do: by length first, which mostly decides.
+inline bool key_less(std::string_view a, std::string_view b) {
+  return a.size() != b.size() ? a.size() < b.size() : a < b;
+}
+// By key, those of one key in the order that they were met in, none twice.
+void sort_by_key(Members& members);
+// The end of the run of one key that begins there.
+inline Members::const_iterator end_of_key(Members::const_iterator from, Members::const_iterator end) {
+  const auto key = from->node->key();
+  while (from != end && from->node->key() == key) ++from;
+  return from;
+}
+
+// Sets that have been met before, by their members; only those with shared members need to be looked up.
+struct SetHash {
+  std::size_t operator()(const Members& members) const {
+    std::size_t out = members.size();
+    for (const auto& member : members)
+      out = out * 1099511628211U + reinterpret_cast<std::uintptr_t>(member.node);
+    return out;
+  }
+};
+inline bool any_shared(const Members& members) {
+  for (const auto& member : members) {
+    if (member.shared) return true;
+  }
+  return false;
+}
+
+}  // namespace cranemux::graphql
--- a/src/graphql/merging.cpp
+++ b/src/graphql/merging.cpp
@@ -11,16 +11,6 @@
 
 namespace cranemux::graphql {
 
-struct Merging::Member {  // a field as it stands in a merged set
-  const Selection* node;
-  const Type* parent;
-  const Field* field;
-  bool operator<(const Member& other) const {
-    return std::tie(node, parent) < std::tie(other.node, other.parent);
-  }
-  bool operator==(const Member& other) const { return node == other.node && parent == other.parent; }
-};
-
 namespace {
 
 bool same_value(const Value& a, const Value& b, Budget& budget);
@@ -57,130 +47,134 @@
   return a.named == b.named || (a.named->composite() && b.named->composite());
 }
 
-}  // namespace
+class Pass {
+ public:
+  Pass(const Schema& schema, const FragmentIndex& fragments, Budget& budget)
+      : schema_(schema),
+        fragments_(fragments),
+        budget_(budget),
+        seen_{Seen(&arena_), Seen(&arena_), Seen(&arena_)} {}
+
+  std::optional<Fault> run(const std::vector<Selection>& selections, const Type* parent) {
+    Members members(&arena_);
+    Names spread(&arena_);
+    collect(selections, parent, false, members, spread);
+    look(std::move(members), shapes | meanings);
+    return std::move(found_);
+  }
 
-struct Merging::Pass {
+ private:
   enum What { shapes = 1, meanings = 2 };  // bits
-  Merging& outer;
-  std::set<std::pair<int, std::vector<Member>>> seen;
-  std::optional<Fault> found;
-
-  void collect(const std::vector<Selection>& selections, const Type* parent, std::vector<Member>& into,
-               std::unordered_set<std::string_view>& spread) {
-    for (const auto& s : selections) {
-      outer.budget_.spend();
-      if (s.kind == SelectionKind::field) {
-        if (!parent) continue;
-        const auto* field = outer.schema_.field(*parent, s.name);
-        if (field) into.push_back({&s, parent, field});
-      } else if (s.kind == SelectionKind::inlined) {
-        collect(s.selections, s.name.empty() ? parent : outer.schema_.type(s.name), into, spread);
-      } else if (spread.insert(s.name).second) {
-        const auto at = outer.fragments_.find(s.name);
-        if (at == outer.fragments_.end()) continue;
-        collect(at->second->selections, outer.schema_.type(at->second->condition), into, spread);
-      }
-    }
+  using Seen = std::pmr::unordered_set<Members, SetHash>;
+
+  void collect(const std::vector<Selection>& selections, const Type* parent, bool shared, Members& into,
+               Names& spread) {
+    collect_fields(
+        schema_, fragments_, budget_, selections, parent, shared, [](const Selection&) { return true; }, into,
+        spread);
   }
 
-  void children(const std::vector<Member>& members, int what) {
-    std::vector<Member> merged;
-    std::unordered_set<std::string_view> spread;
-    for (const auto& member : members)
-      collect(member.node->selections, member.field->type.named, merged, spread);
-    if (!merged.empty()) look(std::move(merged), what);
+  void children(const Member* from, const Member* until, int what) {
+    Members merged(&arena_);
+    Names spread(&arena_);
+    for (; from != until; ++from) {
+      collect(from->node->selections, from->field->type.named, from->shared, merged, spread);
+    }
+    look(std::move(merged), what);
   }
 
-  void look(std::vector<Member> members, int what) {
-    std::sort(members.begin(), members.end());
-    members.erase(std::unique(members.begin(), members.end()), members.end());
-    if (found || !seen.emplace(what, members).second) return;
-    std::stable_sort(members.begin(), members.end(),
-                     [](const auto& a, const auto& b) { return a.node->key() < b.node->key(); });
-    for (auto from = members.begin(); from != members.end() && !found;) {
-      const auto until = std::find_if(
-          from, members.end(), [&](const auto& member) { return member.node->key() != from->node->key(); });
-      group({from, until}, what);
+  void look(Members members, int what) {
+    if (members.empty() || found_) return;
+    sort_by_key(members);
+    if (any_shared(members) && !seen_[static_cast<std::size_t>(what) - 1].insert(members).second) return;
+    for (auto from = members.cbegin(); from != members.cend() && !found_;) {
+      const auto until = end_of_key(from, members.cend());
+      group(&*from, &*from + (until - from), what);
       from = until;
     }
   }
 
-  void group(std::vector<Member> members, int what) {
-    // By place in the document, so that the message names the first.
-    std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) {
-      return std::tie(a.node->at.line, a.node->at.column) < std::tie(b.node->at.line, b.node->at.column);
-    });
+  void group(const Member* from, const Member* until, int what) {
+    if (until - from == 1) {
+      if (!from->node->selections.empty()) children(from, until, what);
+      return;
+    }
     if ((what & shapes) != 0) {
-      for (const auto& member : members) {
-        if (!same_shape(members.front().field->type, member.field->type))
-          return conflict(members.front(), member, true);
+      for (const auto* member = from; member != until; ++member) {
+        if (!same_shape(from->field->type, member->field->type)) return conflict(*from, *member, true);
       }
     }
-    const bool one_parent = std::all_of(members.begin(), members.end(), [&](const auto& member) {
-      return member.parent->abstract() || member.parent == members.front().parent;
+    const bool one_parent = std::all_of(from, until, [&](const Member& member) {
+      return member.parent->abstract() || member.parent == from->parent;
     });
     if ((what & meanings) == 0 || one_parent) {
-      if ((what & meanings) != 0 && !same_meaning(members)) return;
-      return children(members, what);
+      if ((what & meanings) != 0 && !same_meaning(from, until)) return;
+      return children(from, until, what);
     }
-    if ((what & shapes) != 0) children(members, shapes);
-    by_parent(members);
+    if ((what & shapes) != 0) children(from, until, shapes);
+    by_parent(from, until);
   }
 
   // Fields of two object types never meet in one answer; those of interfaces meet with each.
-  void by_parent(const std::vector<Member>& members) {
+  void by_parent(const Member* from, const Member* until) {
     std::set<const Type*> objects;
-    for (const auto& member : members) {
-      if (!member.parent->abstract()) objects.insert(member.parent);
+    for (const auto* member = from; member != until; ++member) {
+      if (!member->parent->abstract()) objects.insert(member->parent);
     }
     for (const auto* object : objects) {
-      std::vector<Member> together;
-      for (const auto& member : members) {
-        outer.budget_.spend();
-        if (member.parent->abstract() || member.parent == object) together.push_back(member);
+      Members together(&arena_);
+      for (const auto* member = from; member != until; ++member) {
+        budget_.spend();
+        if (member->parent->abstract() || member->parent == object) together.push_back(*member);
       }
-      if (found || !same_meaning(together)) return;
-      children(together, meanings);
+      const auto *first = together.data(), *last = first + together.size();
+      if (found_ || !same_meaning(first, last)) return;
+      children(first, last, meanings);
     }
   }
 
-  bool same_meaning(const std::vector<Member>& members) {
-    const auto& first = members.front();
-    for (const auto& member : members) {
-      if (member.node == first.node) continue;
-      if (member.node->name == first.node->name &&
-          same_arguments(member.node->arguments, first.node->arguments, outer.budget_)) {
+  bool same_meaning(const Member* from, const Member* until) {
+    for (const auto* member = from + 1; member < until; ++member) {
+      if (member->node == from->node) continue;
+      if (member->node->name == from->node->name &&
+          same_arguments(member->node->arguments, from->node->arguments, budget_)) {
         continue;
       }
-      conflict(first, member, false);
+      conflict(*from, *member, false);
       return false;
     }
     return true;
   }
 
-  void conflict(const Member& a, const Member& b, bool by_type) {
-    const auto key = std::string(a.node->key());
-    std::string why = by_type ? "one is " + to_text(a.field->type) + ", the other " + to_text(b.field->type)
-                      : a.node->name != b.node->name
-                          ? "'" + std::string(a.node->name) + "' and '" + std::string(b.node->name) +
-                                "' are different fields"
-                          : "their arguments differ";
-    found = Fault{Rule::field_selection_merging,
-                  {a.node->at, b.node->at},
-                  "two fields answer as '" + key + "': " + why +
-                      "; give one of them another name, as in 'other: " + std::string(b.node->name) + "'"};
+  void conflict(const Member& one, const Member& two, bool by_type) {
+    // The first of the document is named first.
+    const auto place = [](const Member& m) { return std::pair(m.node->at.line, m.node->at.column); };
+    const auto& a = place(one) <= place(two) ? one : two;
+    const auto& b = &a == &one ? two : one;
+    const auto why = by_type ? "one is " + to_text(a.field->type) + ", the other " + to_text(b.field->type)
+                     : a.node->name != b.node->name ? "'" + std::string(a.node->name) + "' and '" +
+                                                          std::string(b.node->name) + "' are different fields"
+                                                    : "their arguments differ";
+    found_ = Fault{Rule::field_selection_merging,
+                   {a.node->at, b.node->at},
+                   "two fields answer as '" + std::string(a.node->key()) + "': " + why +
+                       "; give one of them another name, as in 'other: " + std::string(b.node->name) + "'"};
   }
+
+  const Schema& schema_;
+  const FragmentIndex& fragments_;
+  Budget& budget_;
+  std::byte first_[16 * 1024];
+  std::pmr::monotonic_buffer_resource arena_{first_, sizeof first_};
+  Seen seen_[3];  // by what was looked for
+  std::optional<Fault> found_;
 };
 
-Merging::~Merging() = default;
+}  // namespace
 
-std::optional<Fault> Merging::check(const std::vector<Selection>& selections, const Type* parent) {
-  Pass pass{*this, {}, std::nullopt};
-  std::vector<Member> members;
-  std::unordered_set<std::string_view> spread;
-  pass.collect(selections, parent, members, spread);
-  if (!members.empty()) pass.look(std::move(members), Pass::shapes | Pass::meanings);
-  return std::move(pass.found);
+std::optional<Fault> find_conflict(const Schema& schema, const FragmentIndex& fragments, Budget& budget,
+                                   const std::vector<Selection>& selections, const Type* parent) {
+  return Pass(schema, fragments, budget).run(selections, parent);
 }
 
 }  // namespace cranemux::graphql
--- a/src/graphql/parser.cpp
+++ b/src/graphql/parser.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "graphql/lexer.h"
+#include "json/json.h"
 
 namespace cranemux::graphql {
 namespace {
@@ -478,7 +479,8 @@
     case ValueKind::variable:
       return "$" + std::string(value.text);
     case ValueKind::string:
-      return "\"" + std::string(value.text) + "\"";
+      json::write_string(out, value.text);  // a string of JSON is one of GraphQL
+      return out;
     case ValueKind::null:
       return "null";
     case ValueKind::list:
--- a/src/graphql/validator.cpp
+++ b/src/graphql/validator.cpp
@@ -35,9 +35,11 @@
 
 class Validator {
  public:
-  Validator(const Schema& schema, const Document& document, const Limits& limits, const RuleSet& left_out)
+  Validator(const Schema& schema, const Document& document, const FragmentIndex& fragments,
+            const Limits& limits, const RuleSet& left_out)
       : schema_(schema),
         document_(document),
+        fragments_(fragments),
         left_out_(left_out),
         visits_(limits.fields),
         merges_(limits.fields) {}
@@ -92,9 +94,9 @@
       }
     }
     for (const auto& fragment : document_.fragments) {
-      const auto [first, fresh] = fragments_.emplace(fragment.name, &fragment);
-      if (!fresh) {
-        fault(Rule::fragment_name_uniqueness, {first->second->at, fragment.at},
+      const auto* first = fragments_.find(fragment.name);
+      if (first != &fragment) {
+        fault(Rule::fragment_name_uniqueness, {first->at, fragment.at},
               "there are two fragments named " + quoted(fragment.name) + ": rename one");
       }
     }
@@ -224,13 +226,13 @@
   void spread(const Selection& s, const Type& parent) {
     directives(s.directives, "FRAGMENT_SPREAD");
     uses_->spreads.push_back(&s);
-    const auto found = fragments_.find(s.name);
-    if (found == fragments_.end()) {
+    const auto* found = fragments_.find(s.name);
+    if (!found) {
       fault(Rule::fragment_spread_target_defined, {s.at},
             "there is no fragment " + quoted(s.name) + nearest_fragment(s.name));
       return;
     }
-    const auto* type = schema_.type(found->second->condition);
+    const auto* type = schema_.type(found->condition);
     if (type && type->composite()) possible(*type, parent, s);
   }
 
@@ -377,14 +379,14 @@
     bool found = false;
     for (const auto* s : uses(&fragment).spreads) {
       visits_.spend();
-      const auto target = fragments_.find(s->name);
-      if (target == fragments_.end()) continue;
-      if (state[target->second] == 1) {
+      const auto* target = fragments_.find(s->name);
+      if (!target) continue;
+      if (state[target] == 1) {
         found = true;
         fault(Rule::fragment_spreads_must_not_form_cycles, {s->at},
               "the fragment " + quoted(s->name) + " spreads itself, here or by others: leave one spread out");
       } else {
-        found = cycle(*target->second, state) || found;
+        found = cycle(*target, state) || found;
       }
     }
     state[&fragment] = 2;
@@ -414,10 +416,10 @@
       }
       for (const auto* s : here.spreads) {
         visits_.spend();
-        const auto target = fragments_.find(s->name);
-        if (target == fragments_.end() || !seen.insert(target->second).second) continue;
-        reached_.insert(target->second);
-        open.push_back(target->second);
+        const auto* target = fragments_.find(s->name);
+        if (!target || !seen.insert(target).second) continue;
+        reached_.insert(target);
+        open.push_back(target);
       }
     }
     for (const auto& variable : operation.variables) {
@@ -464,7 +466,7 @@
 
   void unused_fragments() {
     for (const auto& fragment : document_.fragments) {
-      if (reached_.count(&fragment) > 0 || fragments_.at(fragment.name) != &fragment) continue;
+      if (reached_.count(&fragment) > 0 || fragments_.find(fragment.name) != &fragment) continue;
       fault(Rule::fragments_must_be_used, {fragment.at},
             "the fragment " + quoted(fragment.name) + " is not used: leave it out");
     }
@@ -472,11 +474,11 @@
 
   // ---- whole selection sets ----
   void merge() {
-    Merging merging(schema_, fragments_, merges_);
     const auto look = [&](const std::vector<Selection>& set, const Type* parent) {
       if (full() || !parent || left_out_.test(static_cast<std::size_t>(Rule::field_selection_merging)))
         return;
-      if (auto found = merging.check(set, parent)) faults_.push_back(std::move(*found));
+      if (auto found = find_conflict(schema_, fragments_, merges_, set, parent))
+        faults_.push_back(std::move(*found));
     };
     for (const auto& operation : document_.operations)
       look(operation.selections, schema_.root(operation.kind));
@@ -507,18 +509,18 @@
       } else if (s.kind == SelectionKind::inlined) {
         root_fields(s.selections, out, spread);
       } else if (spread.insert(s.name).second) {
-        const auto found = fragments_.find(s.name);
-        if (found != fragments_.end()) root_fields(found->second->selections, out, spread);
+        const auto* found = fragments_.find(s.name);
+        if (found) root_fields(found->selections, out, spread);
       }
     }
   }
 
   const Schema& schema_;
   const Document& document_;
+  const FragmentIndex& fragments_;
   const RuleSet left_out_;
   Budget visits_, merges_;
   std::vector<Fault> faults_;
-  Fragments fragments_;
   std::unordered_map<const void*, Uses> uses_of_;  // by operation or fragment
   Uses* uses_ = nullptr;                           // of the one that is being checked
   std::unordered_set<const Fragment*> reached_;
@@ -533,16 +535,9 @@
   return std::nullopt;
 }
 
-void Budget::spend(std::size_t steps) {
-  if (steps > left_) {
-    throw Error(std::string(kTooLarge), "the document takes too many steps to check: ask for less at once");
-  }
-  left_ -= steps;
-}
-
-std::vector<Fault> validate(const Schema& schema, const Document& document, const Limits& limits,
-                            const RuleSet& left_out) {
-  return Validator(schema, document, limits, left_out).run();
+std::vector<Fault> validate(const Schema& schema, const Document& document, const FragmentIndex& fragments,
+                            const Limits& limits, const RuleSet& left_out) {
+  return Validator(schema, document, fragments, limits, left_out).run();
 }
 
 }  // namespace cranemux::graphql
--- a/src/json/json.h
+++ b/src/json/json.h
@@ -20,12 +20,14 @@
 
 struct Number {  // keeps its text, so that no digit is lost
   std::string text;
+  bool operator==(const Number&) const = default;
 };
 
 class Value {
  public:
   std::variant<std::nullptr_t, bool, Number, std::string, Array, Object> data = nullptr;
 
+  bool operator==(const Value&) const = default;
   bool is_null() const { return std::holds_alternative<std::nullptr_t>(data); }
   const bool* boolean() const { return std::get_if<bool>(&data); }
   const Number* number() const { return std::get_if<Number>(&data); }
--- a/tests/graphql_conformance.cpp
+++ b/tests/graphql_conformance.cpp
@@ -75,7 +75,7 @@
                               std::string* told = nullptr) {
   try {
     const auto document = parse(text);
-    const auto faults = validate(schema, document, {}, left_out);
+    const auto faults = validate(schema, document, FragmentIndex(document), {}, left_out);
     if (faults.empty()) return {"ok"};
     std::set<std::string> out;
     for (const auto& fault : faults) {
