--- a/src/graphql/ast.h
+++ b/src/graphql/ast.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <memory_resource>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,24 @@
   bool operator==(const Place&) const = default;
 };
 
+// Items that lie together in their document's arena.
+template <typename Item>
+class List {
+ public:
+  List() = default;
+  List(const Item* first, std::size_t size) : first_(first), size_(size) {}
+  const Item* begin() const { return first_; }
+  const Item* end() const { return first_ + size_; }
+  std::size_t size() const { return size_; }
+  bool empty() const { return size_ == 0; }
+  const Item& front() const { return *first_; }
+  const Item& operator[](std::size_t i) const { return first_[i]; }
+
+ private:
+  const Item* first_ = nullptr;
+  std::size_t size_ = 0;
+};
+
 enum class ValueKind : std::uint8_t {
   variable,
   integer,
@@ -33,8 +52,8 @@
   ValueKind kind = ValueKind::null;
   Place at;
   std::string_view text;  // a name without `$`, digits, a string's content with its escapes resolved
-  std::vector<Value> items;
-  std::vector<Argument> members;
+  List<Value> items;
+  List<Argument> members;
 };
 struct Argument {  // or an input object's field
   std::string_view name;
@@ -43,25 +62,31 @@
 };
 struct Directive {
   std::string_view name;
-  std::vector<Argument> arguments;
+  List<Argument> arguments;
   Place at;
 };
 
 struct TypeRef {
   std::string_view name;           // of a list: empty
-  std::shared_ptr<TypeRef> items;  // of a list
+  const TypeRef* items = nullptr;  // of a list
   bool required = false;
   Place at;
 };
 
+struct Field;
+struct Type;
 enum class SelectionKind : std::uint8_t { field, spread, inlined };
 struct Selection {
   SelectionKind kind = SelectionKind::field;
   std::string_view alias, name;  // a spread's fragment; an inline fragment's type condition, or empty
-  std::vector<Argument> arguments;
-  std::vector<Directive> directives;
-  std::vector<Selection> selections;
+  List<Argument> arguments;
+  List<Directive> directives;
+  List<Selection> selections;
   Place at;
+  // What the validator found for it in the schema, once: a field and the type that it is selected on, or an
+  // inline fragment's type. None of a document that has not been checked.
+  mutable const Field* field = nullptr;
+  mutable const Type* type = nullptr;
   std::string_view key() const { return alias.empty() ? name : alias; }
 };
 
@@ -73,21 +98,21 @@
   std::string_view name;
   TypeRef type;
   std::optional<Value> absent;  // its default
-  std::vector<Directive> directives;
+  List<Directive> directives;
   Place at;
 };
 struct Operation {
   OperationKind kind = OperationKind::query;
   std::string_view name;
   std::vector<VariableDefinition> variables;
-  std::vector<Directive> directives;
-  std::vector<Selection> selections;
+  List<Directive> directives;
+  List<Selection> selections;
   Place at;
 };
 struct Fragment {
   std::string_view name, condition;
-  std::vector<Directive> directives;
-  std::vector<Selection> selections;
+  List<Directive> directives;
+  List<Selection> selections;
   Place at, condition_at;
 };
 
@@ -101,19 +126,19 @@
   std::string_view description, name;
   TypeRef type;
   std::optional<Value> absent;
-  std::vector<Directive> directives;
+  List<Directive> directives;
   Place at;
 };
 struct FieldDefinition {
   std::string_view description, name;
   std::vector<InputDefinition> arguments;
   TypeRef type;
-  std::vector<Directive> directives;
+  List<Directive> directives;
   Place at;
 };
 struct EnumValueDefinition {
   std::string_view description, name;
-  std::vector<Directive> directives;
+  List<Directive> directives;
   Place at;
 };
 enum class TypeKind : std::uint8_t { scalar, object, interface, union_of, enumeration, input };
@@ -122,7 +147,7 @@
   bool extension = false;
   std::string_view description, name;
   std::vector<Named> interfaces, members;  // `implements`; a union's types
-  std::vector<Directive> directives;
+  List<Directive> directives;
   std::vector<FieldDefinition> fields;
   std::vector<InputDefinition> inputs;
   std::vector<EnumValueDefinition> values;
@@ -138,14 +163,20 @@
 struct SchemaDefinition {
   bool extension = false;
   std::string_view description;
-  std::vector<Directive> directives;
+  List<Directive> directives;
   std::vector<std::pair<OperationKind, Named>> roots;
   Place at;
 };
 
+// What the views and lists of a document point into.
+struct Memory {
+  std::string text;
+  std::deque<std::string> resolved;  // strings whose escapes are not the text's own bytes
+  std::pmr::monotonic_buffer_resource arena;
+};
+
 struct Document {
-  std::shared_ptr<const std::string> text;
-  std::shared_ptr<std::deque<std::string>> resolved;  // strings whose escapes are not the text's own bytes
+  std::shared_ptr<const Memory> memory;
   std::vector<Operation> operations;
   std::vector<Fragment> fragments;
   std::vector<TypeDefinition> types;
--- a/src/graphql/cost.cpp
+++ b/src/graphql/cost.cpp
@@ -43,7 +43,7 @@
     out_.booking = operation.kind == OperationKind::mutation;
     Members members(&arena_);
     Names spread(&arena_);
-    collect(operation.selections, out_.root, false, members, spread);
+    collect(operation.selections, false, members, spread);
     out_.shape = shape(std::move(members), *out_.root, {});
     out_.units = std::max(0.0, out_.shape->cost);
   }
@@ -60,14 +60,14 @@
     for (const auto& item : value.items) note(item);
     for (const auto& member : value.members) note(member.value);
   }
-  std::optional<json::Value> value_of(const Input& input, const std::vector<Argument>& written) {
+  std::optional<json::Value> value_of(const Input& input, const List<Argument>& written) {
     for (const auto& argument : written) {
       if (argument.name == input.name) note(argument.value);
     }
     return argument_value(input, written, variables_);
   }
 
-  bool taken(const std::vector<Directive>& directives) {
+  bool taken(const List<Directive>& directives) {
     return std::all_of(directives.begin(), directives.end(), [this](const Directive& directive) {
       const bool include = directive.name == "include";
       if (!include && directive.name != "skip") return true;
@@ -77,11 +77,10 @@
     });
   }
 
-  void collect(const std::vector<Selection>& selections, const Type* parent, bool shared, Members& into,
-               Names& spread) {
+  void collect(const List<Selection>& selections, bool shared, Members& into, Names& spread) {
     collect_fields(
-        schema_, fragments_, budget_, selections, parent, shared,
-        [this](const Selection& s) { return taken(s.directives); }, into, spread);
+        fragments_, budget_, selections, shared, [this](const Selection& s) { return taken(s.directives); },
+        into, spread);
   }
 
   // The same fields below the same type are worked out once, however often they are asked for.
@@ -93,7 +92,7 @@
       const auto known = known_.find(key);
       if (known != known_.end()) return known->second;
     }
-    auto& made = out_.shapes.emplace_back();
+    auto& made = out_.shapes.emplace_back(Shape{std::pmr::vector<Variant>(&out_.arena)});
     std::pmr::vector<const Type*> parents(&arena_);
     for (const auto& member : key.first) {
       if (member.parent != &type &&
@@ -102,6 +101,7 @@
       }
     }
     if (parents.empty()) {
+      made.variants.reserve(1);
       add_variant(made, variant(key.first, nullptr, sized));
     } else {
       for (auto& objects : alike_objects(parents, type)) {
@@ -138,7 +138,7 @@
 
   // `object`: the type of the value, or any where all members are of the set's own.
   Variant variant(const Members& members, const Type* object, const Sized& sized) {
-    Variant out;
+    Variant out{{}, std::pmr::vector<Entry>(&out_.arena)};
     Members mine(&arena_);
     const auto* set = &members;
     if (object) {
@@ -172,7 +172,7 @@
     Members merged(&arena_);
     Names spread(&arena_);
     for (std::size_t i = 0; i < count; ++i) {
-      collect(members[i].node->selections, field.type.named, members[i].shared, merged, spread);
+      collect(members[i].node->selections, members[i].shared, merged, spread);
     }
     out.below = shape(std::move(merged), *field.type.named, below);
     return out;
@@ -185,7 +185,7 @@
   }
 
   // ---- arguments ----
-  double argument_cost(const Input& input, const std::vector<Argument>& written) {
+  double argument_cost(const Input& input, const List<Argument>& written) {
     if (!input.weight && input.type.named->kind != TypeKind::input) return 0;
     const auto value = value_of(input, written);
     return value ? input_cost(input, *value) : 0;
--- a/src/graphql/cost.h
+++ b/src/graphql/cost.h
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <memory>
+#include <memory_resource>
 
 #include "graphql/validator.h"
 #include "graphql/values.h"
@@ -34,10 +35,10 @@
 double cost_of(const Entry& entry);  // with all below it
 struct Variant {                     // what a value of these objects answers with
   std::vector<const Type*> objects;
-  std::vector<Entry> entries;  // in the order of key_less()
+  std::pmr::vector<Entry> entries;  // in the order of key_less()
 };
 struct Shape {
-  std::vector<Variant> variants;
+  std::pmr::vector<Variant> variants;
   double cost = 0;  // of the fields of one value, the dearest variant's
 };
 
@@ -48,7 +49,8 @@
   bool booking = false;  // a mutation, or a field with @booking: runs once at most
   const Type* root = nullptr;
   const Shape* shape = nullptr;
-  std::deque<Shape> shapes;  // `shape` and all below it
+  std::pmr::monotonic_buffer_resource arena;
+  std::pmr::deque<Shape> shapes{&arena};  // `shape` and all below it
   // The variables that the price went by: with the same values it is the same.
   std::vector<std::pair<std::string_view, std::optional<json::Value>>> went_by;
 };
--- a/src/graphql/engine.cpp
+++ b/src/graphql/engine.cpp
@@ -23,7 +23,7 @@
 struct Sizes {
   std::size_t aliases = 0, directives = 0;
 
-  void count(const std::vector<Selection>& selections) {
+  void count(const List<Selection>& selections) {
     for (const auto& s : selections) {
       aliases += s.alias.empty() ? 0 : 1;
       directives += s.directives.size();
--- a/src/graphql/field_costs.cpp
+++ b/src/graphql/field_costs.cpp
@@ -21,7 +21,7 @@
   }
 }
 
-void check_arguments(const std::vector<Selection>& selections) {
+void check_arguments(const List<Selection>& selections) {
   for (const auto& s : selections) {
     check_unique(s.arguments, "arguments");
     check_arguments(s.selections);
@@ -52,7 +52,7 @@
  private:
   struct Group {  // fields that answer under one key
     const Selection* first = nullptr;
-    std::vector<const std::vector<Selection>*> selections;
+    std::vector<const List<Selection>*> selections;
   };
   using Groups = std::vector<std::pair<std::string, Group>>;
 
@@ -69,17 +69,17 @@
     open.erase(name);
     done.insert(name);
   }
-  void check_spreads(const std::vector<Selection>& selections, Names& done, Names& open) {
+  void check_spreads(const List<Selection>& selections, Names& done, Names& open) {
     for (const auto& s : selections) {
       if (s.kind == SelectionKind::spread) check_cycles(s.name, done, open);
       check_spreads(s.selections, done, open);
     }
   }
 
-  void check(const std::vector<Directive>& directives) const {
+  void check(const List<Directive>& directives) const {
     for (const auto& directive : directives) check(directive.arguments);
   }
-  void check(const std::vector<Argument>& arguments) const {
+  void check(const List<Argument>& arguments) const {
     for (const auto& argument : arguments) check(argument.value);
   }
   void check(const Value& value) const {
@@ -91,7 +91,7 @@
   }
 
   // By @skip and @include.
-  bool taken(const std::vector<Directive>& directives) const {
+  bool taken(const List<Directive>& directives) const {
     check(directives);
     bool taken = true;
     for (const auto& directive : directives) {
@@ -110,7 +110,7 @@
 
   // `condition`: the type that the fields are for, where a fragment names one. Types are not known here, so
   // fields for two types are both paid for; only for one type must a key have one meaning.
-  void collect(const std::vector<Selection>& selections, const std::string& condition, std::size_t depth,
+  void collect(const List<Selection>& selections, const std::string& condition, std::size_t depth,
                Groups& groups) {
     if (depth > limits_.depth) throw Error(std::string(kTooDeep), "the operation is nested too deeply");
     for (const auto& s : selections) {
@@ -169,7 +169,7 @@
     return cost.usual_size;
   }
 
-  void add(const std::vector<const std::vector<Selection>*>& sets, double times, std::size_t depth) {
+  void add(const std::vector<const List<Selection>*>& sets, double times, std::size_t depth) {
     Groups groups;
     for (const auto* set : sets) collect(*set, "", depth, groups);
     for (const auto& [key, group] : groups) {
--- a/src/graphql/field_sets.cpp
+++ b/src/graphql/field_sets.cpp
@@ -14,7 +14,7 @@
   for (const auto& fragment : document.fragments) count(fragment.selections);
 }
 
-void FragmentIndex::count(const std::vector<Selection>& selections) {
+void FragmentIndex::count(const List<Selection>& selections) {
   for (const auto& s : selections) {
     if (s.kind == SelectionKind::spread) {
       const auto at = by_name_.find(s.name);
@@ -27,8 +27,7 @@
 void sort_by_key(Members& members) {
   const auto less = [](const Member& a, const Member& b) {
     const auto mine = a.node->key(), theirs = b.node->key();
-    return mine != theirs ? key_less(mine, theirs)
-                          : std::pair(a.node, a.parent) < std::pair(b.node, b.parent);
+    return mine != theirs ? key_less(mine, theirs) : a.node < b.node;
   };
   std::sort(members.begin(), members.end(), less);
   members.erase(std::unique(members.begin(), members.end()), members.end());
--- a/src/graphql/field_sets.h
+++ b/src/graphql/field_sets.h
@@ -43,7 +43,7 @@
     const Fragment* fragment;
     std::size_t spreads = 0;
   };
-  void count(const std::vector<Selection>& selections);
+  void count(const List<Selection>& selections);
   std::unordered_map<std::string_view, Known> by_name_;
 };
 
@@ -52,33 +52,30 @@
   const Type* parent;
   const Field* field;
   bool shared;  // may be met in other sets, too
-  bool operator==(const Member& other) const { return node == other.node && parent == other.parent; }
+  bool operator==(const Member& other) const { return node == other.node; }
 };
 using Members = std::pmr::vector<Member>;
 using Names = std::pmr::vector<std::string_view>;
 
-// CollectFields (section 6.3.2) without regard to types: each field with the type that it was selected on.
-// Fields and types that do not exist are passed over. `taken` says whether a selection with directives
-// counts.
+// CollectFields (section 6.3.2) without regard to types: each field with the type that it was selected on, as
+// the validator found them; those that do not exist are passed over. `taken` says whether a selection with
+// directives counts.
 template <typename Taken>
-void collect_fields(const Schema& schema, const FragmentIndex& fragments, Budget& budget,
-                    const std::vector<Selection>& selections, const Type* parent, bool shared,
-                    const Taken& taken, Members& into, Names& spread) {
+void collect_fields(const FragmentIndex& fragments, Budget& budget, const List<Selection>& selections,
+                    bool shared, const Taken& taken, Members& into, Names& spread) {
   for (const auto& s : selections) {
     budget.spend();
     if (!s.directives.empty() && !taken(s)) continue;
     if (s.kind == SelectionKind::field) {
-      const auto* field = parent ? schema.field(*parent, s.name) : nullptr;
-      if (field) into.push_back({&s, parent, field, shared});
+      if (s.field) into.push_back({&s, s.type, s.field, shared});
     } else if (s.kind == SelectionKind::inlined) {
-      const auto* type = s.name.empty() ? parent : schema.type(s.name);
-      collect_fields(schema, fragments, budget, s.selections, type, shared, taken, into, spread);
+      if (s.type) collect_fields(fragments, budget, s.selections, shared, taken, into, spread);
     } else if (const auto* fragment = fragments.find(s.name)) {
       if (std::find(spread.begin(), spread.end(), fragment->name) != spread.end()) continue;
       budget.spend(spread.size() / 8);
       spread.push_back(fragment->name);
-      collect_fields(schema, fragments, budget, fragment->selections, schema.type(fragment->condition),
-                     shared || fragments.shared(s.name), taken, into, spread);
+      collect_fields(fragments, budget, fragment->selections, shared || fragments.shared(s.name), taken, into,
+                     spread);
     }
   }
 }
--- a/src/graphql/introspection.cpp
+++ b/src/graphql/introspection.cpp
@@ -26,7 +26,7 @@
   bool own = false, other = false, schema = false;
 };
 
-void look(const std::vector<Selection>& selections, const Fragments& fragments,
+void look(const List<Selection>& selections, const Fragments& fragments,
           std::unordered_set<std::string_view>& seen, Roots& roots) {
   for (const auto& s : selections) {
     if (s.kind == SelectionKind::field) {
@@ -62,7 +62,7 @@
   }
 
  private:
-  using Sets = std::vector<const std::vector<Selection>*>;
+  using Sets = std::vector<const List<Selection>*>;
   struct Group {
     const Selection* first;
     Sets selections;
@@ -73,7 +73,7 @@
     throw Error(std::string(kTooLarge), "the answer is too large: ask for fewer types or fields at once");
   }
 
-  bool taken(const std::vector<Directive>& directives) const {
+  bool taken(const List<Directive>& directives) const {
     return std::all_of(directives.begin(), directives.end(), [this](const Directive& directive) {
       const bool include = directive.name == "include";
       if (!include && directive.name != "skip") return true;
--- a/src/graphql/merging.cpp
+++ b/src/graphql/merging.cpp
@@ -15,10 +15,10 @@
 
 bool same_value(const Value& a, const Value& b, Budget& budget);
 
-bool same_arguments(const std::vector<Argument>& a, const std::vector<Argument>& b, Budget& budget) {
+bool same_arguments(const List<Argument>& a, const List<Argument>& b, Budget& budget) {
   if (a.size() != b.size()) return false;
   if (a.empty()) return true;
-  const auto sorted = [](const std::vector<Argument>& arguments) {
+  const auto sorted = [](const List<Argument>& arguments) {
     std::vector<const Argument*> out;
     for (const auto& argument : arguments) out.push_back(&argument);
     std::sort(out.begin(), out.end(), [](const auto* x, const auto* y) { return x->name < y->name; });
@@ -49,16 +49,13 @@
 
 class Pass {
  public:
-  Pass(const Schema& schema, const FragmentIndex& fragments, Budget& budget)
-      : schema_(schema),
-        fragments_(fragments),
-        budget_(budget),
-        seen_{Seen(&arena_), Seen(&arena_), Seen(&arena_)} {}
+  Pass(const FragmentIndex& fragments, Budget& budget)
+      : fragments_(fragments), budget_(budget), seen_{Seen(&arena_), Seen(&arena_), Seen(&arena_)} {}
 
-  std::optional<Fault> run(const std::vector<Selection>& selections, const Type* parent) {
+  std::optional<Fault> run(const List<Selection>& selections) {
     Members members(&arena_);
     Names spread(&arena_);
-    collect(selections, parent, false, members, spread);
+    collect(selections, false, members, spread);
     look(std::move(members), shapes | meanings);
     return std::move(found_);
   }
@@ -67,24 +64,28 @@
   enum What { shapes = 1, meanings = 2 };  // bits
   using Seen = std::pmr::unordered_set<Members, SetHash>;
 
-  void collect(const std::vector<Selection>& selections, const Type* parent, bool shared, Members& into,
-               Names& spread) {
+  void collect(const List<Selection>& selections, bool shared, Members& into, Names& spread) {
     collect_fields(
-        schema_, fragments_, budget_, selections, parent, shared, [](const Selection&) { return true; }, into,
-        spread);
+        fragments_, budget_, selections, shared, [](const Selection&) { return true; }, into, spread);
   }
 
   void children(const Member* from, const Member* until, int what) {
     Members merged(&arena_);
     Names spread(&arena_);
     for (; from != until; ++from) {
-      collect(from->node->selections, from->field->type.named, from->shared, merged, spread);
+      collect(from->node->selections, from->shared, merged, spread);
     }
     look(std::move(merged), what);
   }
 
   void look(Members members, int what) {
     if (members.empty() || found_) return;
+    if (all_differ(members)) {  // as in most sets: nothing is merged
+      for (const auto& member : members) {
+        if (!member.node->selections.empty()) children(&member, &member + 1, what);
+      }
+      return;
+    }
     sort_by_key(members);
     if (any_shared(members) && !seen_[static_cast<std::size_t>(what) - 1].insert(members).second) return;
     for (auto from = members.cbegin(); from != members.cend() && !found_;) {
@@ -94,6 +95,19 @@
     }
   }
 
+  // A set in which nothing answers under one key, and that is met once; for small ones, where a look costs
+  // least.
+  static bool all_differ(const Members& members) {
+    constexpr std::size_t kSmall = 12;
+    if (members.size() > kSmall || any_shared(members)) return false;
+    for (std::size_t i = 1; i < members.size(); ++i) {
+      for (std::size_t j = 0; j < i; ++j) {
+        if (members[i].node->key() == members[j].node->key()) return false;
+      }
+    }
+    return true;
+  }
+
   void group(const Member* from, const Member* until, int what) {
     if (until - from == 1) {
       if (!from->node->selections.empty()) children(from, until, what);
@@ -161,7 +175,6 @@
                        "; give one of them another name, as in 'other: " + std::string(b.node->name) + "'"};
   }
 
-  const Schema& schema_;
   const FragmentIndex& fragments_;
   Budget& budget_;
   std::byte first_[16 * 1024];
@@ -172,9 +185,9 @@
 
 }  // namespace
 
-std::optional<Fault> find_conflict(const Schema& schema, const FragmentIndex& fragments, Budget& budget,
-                                   const std::vector<Selection>& selections, const Type* parent) {
-  return Pass(schema, fragments, budget).run(selections, parent);
+std::optional<Fault> find_conflict(const FragmentIndex& fragments, Budget& budget,
+                                   const List<Selection>& selections) {
+  return Pass(fragments, budget).run(selections);
 }
 
 }  // namespace cranemux::graphql
--- a/src/graphql/parser.cpp
+++ b/src/graphql/parser.cpp
@@ -18,10 +18,31 @@
   return "'" + std::string(token.text) + "'";
 }
 
+// Gathers items on a stack that its nested gatherings share, then lays them down in the arena.
+template <typename Item>
+class Gathering {
+  static_assert(std::is_trivially_destructible_v<Item>);  // the arena destroys nothing
+
+ public:
+  explicit Gathering(std::vector<Item>& stack) : stack_(stack), from_(stack.size()) {}
+  void add(const Item& item) { stack_.push_back(item); }
+  List<Item> lay_down(std::pmr::memory_resource& arena) {
+    const auto count = stack_.size() - from_;
+    auto* first = static_cast<Item*>(arena.allocate(count * sizeof(Item), alignof(Item)));
+    std::uninitialized_copy(stack_.end() - static_cast<std::ptrdiff_t>(count), stack_.end(), first);
+    stack_.erase(stack_.end() - static_cast<std::ptrdiff_t>(count), stack_.end());
+    return {first, count};
+  }
+
+ private:
+  std::vector<Item>& stack_;
+  const std::size_t from_;
+};
+
 class Parser {
  public:
-  Parser(std::string_view text, const Limits& limits, std::deque<std::string>& resolved)
-      : lexer_(text, limits.tokens, resolved), limits_(limits) {
+  Parser(Memory& memory, const Limits& limits)
+      : arena_(memory.arena), lexer_(memory.text, limits.tokens, memory.resolved), limits_(limits) {
     step();
   }
 
@@ -29,11 +50,6 @@
     if (ends()) wrong("the document is empty");
     while (!ends()) definition(out);
   }
-  TypeRef lone_type() {
-    auto out = type(1);
-    if (!ends()) wrong("a type ends before " + shown(now_));
-    return out;
-  }
 
  private:
   // ---- tokens ----
@@ -77,7 +93,8 @@
     TypeRef out;
     out.at = now_.at;
     if (take("[")) {
-      out.items = std::make_shared<TypeRef>(type(depth + 1));
+      const auto items = type(depth + 1);
+      out.items = new (arena_.allocate(sizeof(TypeRef), alignof(TypeRef))) TypeRef(items);
       expect("]");
     } else {
       out.name = name("a type");
@@ -86,31 +103,32 @@
     return out;
   }
 
-  std::vector<Directive> directives(bool constant) {
-    std::vector<Directive> out;
+  List<Directive> directives(bool constant) {
+    if (!is("@")) return {};
+    Gathering<Directive> out(directives_);
     while (is("@")) {
       Directive directive;
       directive.at = now_.at;
       step();
       directive.name = name("a directive's name");
       directive.arguments = arguments(constant);
-      out.push_back(std::move(directive));
+      out.add(directive);
     }
-    return out;
+    return out.lay_down(arena_);
   }
 
-  std::vector<Argument> arguments(bool constant) {
-    std::vector<Argument> out;
-    if (!take("(")) return out;
+  List<Argument> arguments(bool constant) {
+    if (!take("(")) return {};
+    Gathering<Argument> out(arguments_);
     do {
       Argument argument;
       argument.at = now_.at;
       argument.name = name("an argument");
       expect(":");
       argument.value = value(constant, 1);
-      out.push_back(std::move(argument));
+      out.add(argument);
     } while (!take(")"));
-    return out;
+    return out.lay_down(arena_);
   }
 
   Value value(bool constant, std::size_t depth) {
@@ -120,19 +138,23 @@
     if (is("$")) return variable(constant, out);
     if (take("[")) {
       out.kind = ValueKind::list;
-      while (!take("]")) out.items.push_back(value(constant, depth + 1));
+      Gathering<Value> items(values_);
+      while (!take("]")) items.add(value(constant, depth + 1));
+      out.items = items.lay_down(arena_);
       return out;
     }
     if (take("{")) {
       out.kind = ValueKind::object;
+      Gathering<Argument> members(arguments_);
       while (!take("}")) {
         Argument member;
         member.at = now_.at;
         member.name = name("an input field");
         expect(":");
         member.value = value(constant, depth + 1);
-        out.members.push_back(std::move(member));
+        members.add(member);
       }
+      out.members = members.lay_down(arena_);
       return out;
     }
     out.text = now_.text;
@@ -221,14 +243,15 @@
     return out;
   }
 
-  std::vector<Selection> selection_set(std::size_t depth) {
+  List<Selection> selection_set(std::size_t depth) {
     check(depth);
     expect("{");
     if (is("}")) wrong("a selection cannot be empty: name a field, or leave the braces out");
-    std::vector<Selection> out;
-    do out.push_back(selection(depth));
-    while (!take("}"));
-    return out;
+    Gathering<Selection> out(selections_);
+    do {
+      out.add(selection(depth));
+    } while (!take("}"));
+    return out.lay_down(arena_);
   }
 
   Selection selection(std::size_t depth) {
@@ -435,19 +458,25 @@
     return out;
   }
 
+  std::pmr::memory_resource& arena_;
   Lexer lexer_;
   const Limits& limits_;
   Token now_;
+  std::vector<Selection> selections_;
+  std::vector<Directive> directives_;
+  std::vector<Argument> arguments_;
+  std::vector<Value> values_;
 };
 
 Document read(std::string text, const Limits& limits) {
   if (text.size() > limits.bytes) {
     throw Error(std::string(kTooLarge), "longer than " + std::to_string(limits.bytes) + " bytes");
   }
+  const auto memory = std::make_shared<Memory>();
+  memory->text = std::move(text);
   Document out;
-  out.text = std::make_shared<const std::string>(std::move(text));
-  out.resolved = std::make_shared<std::deque<std::string>>();
-  Parser(*out.text, limits, *out.resolved).document(out);
+  out.memory = memory;
+  Parser(*memory, limits).document(out);
   return out;
 }
 
@@ -462,12 +491,6 @@
   return read(std::move(text), limits);
 }
 
-TypeRef parse_type(std::string_view text) {
-  std::deque<std::string> resolved;
-  const Limits limits;
-  return Parser(text, limits, resolved).lone_type();
-}
-
 std::string to_text(const TypeRef& type) {
   return (type.items ? "[" + to_text(*type.items) + "]" : std::string(type.name)) +
          (type.required ? "!" : "");
--- a/src/graphql/parser.h
+++ b/src/graphql/parser.h
@@ -11,9 +11,6 @@
 Document parse(std::string text, const Limits& limits = {});
 // A schema, or a part of one. Bounds that a schema may need: 4 MiB, a million tokens.
 Document parse_schema(std::string text);
-// A type as a client may write it, `[ID!]!`. The text must outlive it.
-TypeRef parse_type(std::string_view text);
-
 std::string to_text(const TypeRef& type);
 std::string to_text(const Value& value);
 
--- a/src/graphql/schema_builder.cpp
+++ b/src/graphql/schema_builder.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kMostFaults = 50;
 
-const Directive* directive_named(const std::vector<Directive>& directives, std::string_view name) {
+const Directive* directive_named(const List<Directive>& directives, std::string_view name) {
   for (const auto& directive : directives) {
     if (directive.name == name) return &directive;
   }
@@ -249,7 +249,7 @@
   const auto use = schema_.resolve(ref);
   if (!use) {
     const auto* base = &ref;
-    while (base->items) base = base->items.get();
+    while (base->items) base = base->items;
     std::vector<Named> names;
     for (const auto& [name, type] : schema_.types_) names.push_back({name, {}});
     fault(ref.at, "'" + what + "' is of an unknown type '" + std::string(base->name) + "'" +
@@ -258,14 +258,14 @@
   return use;
 }
 
-std::optional<std::string_view> SchemaBuilder::deprecated(const std::vector<Directive>& directives) const {
+std::optional<std::string_view> SchemaBuilder::deprecated(const List<Directive>& directives) const {
   const auto* directive = directive_named(directives, "deprecated");
   if (!directive) return std::nullopt;
   const auto* reason = argument_named(*directive, "reason");
   return reason && reason->kind == ValueKind::string ? reason->text : "No longer supported";
 }
 
-std::optional<double> SchemaBuilder::weight(const std::vector<Directive>& directives) {
+std::optional<double> SchemaBuilder::weight(const List<Directive>& directives) {
   const auto* directive = directive_named(directives, "cost");
   const auto* told = directive ? argument_named(*directive, "weight") : nullptr;
   if (!told) return std::nullopt;
@@ -279,7 +279,7 @@
   return std::nullopt;
 }
 
-std::optional<ListSize> SchemaBuilder::list_size(const std::vector<Directive>& directives) {
+std::optional<ListSize> SchemaBuilder::list_size(const List<Directive>& directives) {
   const auto* directive = directive_named(directives, "listSize");
   if (!directive) return std::nullopt;
   ListSize out;
--- a/src/graphql/schema_builder.h
+++ b/src/graphql/schema_builder.h
@@ -28,9 +28,9 @@
   void set_possible();
   void set_meta_fields();
   std::optional<TypeUse> use_of(const TypeRef& ref, const std::string& what);
-  std::optional<std::string_view> deprecated(const std::vector<Directive>& directives) const;
-  std::optional<double> weight(const std::vector<Directive>& directives);
-  std::optional<ListSize> list_size(const std::vector<Directive>& directives);
+  std::optional<std::string_view> deprecated(const List<Directive>& directives) const;
+  std::optional<double> weight(const List<Directive>& directives);
+  std::optional<ListSize> list_size(const List<Directive>& directives);
 
   // ---- schema_check.cpp: section 3 ----
   void check();
@@ -43,7 +43,7 @@
   void check_inputs(const std::vector<Input>& inputs, const std::string& what, bool of_object);
   void check_input_cycles();
   bool find_cycle(const Type& type, std::map<const Type*, int>& state);
-  void check_directives(const std::vector<Directive>& directives, std::string_view location);
+  void check_directives(const List<Directive>& directives, std::string_view location);
   void check_used_directives(const Document& document);
   void check_used_inputs(const std::vector<InputDefinition>& inputs, std::string_view location);
   void check_directive_definition(const DirectiveUse& directive);
--- a/src/graphql/schema_check.cpp
+++ b/src/graphql/schema_check.cpp
@@ -168,7 +168,7 @@
   return false;
 }
 
-void SchemaBuilder::check_directives(const std::vector<Directive>& directives, std::string_view location) {
+void SchemaBuilder::check_directives(const List<Directive>& directives, std::string_view location) {
   std::set<std::string_view> seen;
   for (const auto& directive : directives) {
     const auto name = "@" + std::string(directive.name);
--- a/src/graphql/validator.cpp
+++ b/src/graphql/validator.cpp
@@ -130,7 +130,7 @@
 
   std::string nearest_type(const TypeRef& ref) const {
     const auto* base = &ref;
-    while (base->items) base = base->items.get();
+    while (base->items) base = base->items;
     return nearest_type(base->name);
   }
   std::string nearest_type(std::string_view name) const {
@@ -161,7 +161,7 @@
   }
 
   // ---- selections ----
-  void selections(const std::vector<Selection>& set, const Type& parent) {
+  void selections(const List<Selection>& set, const Type& parent) {
     for (const auto& s : set) {
       visits_.spend();
       if (full()) return;
@@ -181,14 +181,15 @@
 
   void field(const Selection& s, const Type& parent) {
     directives(s.directives, "FIELD");
-    const auto* field = schema_.field(parent, s.name);
+    const auto* field = s.field = schema_.field(parent, s.name);
+    s.type = &parent;
     if (!field) {
       fault(Rule::field_selections, {s.at},
             quoted(parent.name) + " has no field " + quoted(s.name) + instead(s, parent));
-      arguments(s.arguments, {}, s.at, quoted(s.name), false);
+      arguments(s.arguments, {}, s.at, s.name, false);
       return;
     }
-    arguments(s.arguments, field->arguments, s.at, quoted(s.name), true);
+    arguments(s.arguments, field->arguments, s.at, s.name, true);
     const auto& type = *field->type.named;
     if (type.leaf() && !s.selections.empty()) {
       fault(Rule::leaf_field_selections, {s.at},
@@ -219,6 +220,7 @@
     directives(s.directives, "INLINE_FRAGMENT");
     const auto* type = s.name.empty() ? &parent : condition(s.name, s.at);
     if (!type) return;
+    s.type = type;
     possible(*type, parent, s);
     selections(s.selections, *type);
   }
@@ -248,8 +250,8 @@
   }
 
   // ---- arguments, directives, values ----
-  void arguments(const std::vector<Argument>& written, const std::vector<Input>& known, Place at,
-                 const std::string& what, bool checked) {
+  void arguments(const List<Argument>& written, const std::vector<Input>& known, Place at,
+                 std::string_view what, bool checked) {
     unique(written, Rule::argument_uniqueness, "argument");
     for (const auto& argument : written) {
       const auto input =
@@ -259,8 +261,9 @@
         continue;
       }
       if (checked) {
-        fault(Rule::argument_names, {argument.at},
-              what + " has no argument " + quoted(argument.name) + did_you_mean(argument.name, known));
+        fault(
+            Rule::argument_names, {argument.at},
+            quoted(what) + " has no argument " + quoted(argument.name) + did_you_mean(argument.name, known));
       }
       unknown_value(argument.value);
     }
@@ -270,12 +273,12 @@
           std::any_of(written.begin(), written.end(), [&](const auto& a) { return a.name == input.name; });
       if (!told) {
         fault(Rule::required_arguments, {at},
-              what + " needs the argument " + quoted(input.name) + " of type " + to_text(input.type));
+              quoted(what) + " needs the argument " + quoted(input.name) + " of type " + to_text(input.type));
       }
     }
   }
 
-  void unique(const std::vector<Argument>& written, Rule rule, const char* word) {
+  void unique(const List<Argument>& written, Rule rule, const char* word) {
     if (written.size() < 2) return;
     std::vector<const Argument*> sorted;
     for (const auto& argument : written) sorted.push_back(&argument);
@@ -288,7 +291,7 @@
     }
   }
 
-  void directives(const std::vector<Directive>& written, std::string_view location) {
+  void directives(const List<Directive>& written, std::string_view location) {
     for (const auto& directive : written) {
       visits_.spend();
       const auto* known = schema_.directive(directive.name);
@@ -297,19 +300,19 @@
         for (const auto& [name, any] : schema_.directives()) names.push_back({name, {}});
         fault(Rule::directives_are_defined, {directive.at},
               "there is no directive " + at_sign(directive.name) + did_you_mean(directive.name, names));
-        arguments(directive.arguments, {}, directive.at, at_sign(directive.name), false);
+        arguments(directive.arguments, {}, directive.at, directive.name, false);
         continue;
       }
       if (known->locations.count(location) == 0) {
         fault(Rule::directives_are_in_valid_locations, {directive.at},
               at_sign(directive.name) + " has no place on a " + std::string(location));
       }
-      arguments(directive.arguments, known->arguments, directive.at, at_sign(directive.name), true);
+      arguments(directive.arguments, known->arguments, directive.at, directive.name, true);
     }
     unique_directives(written);
   }
 
-  void unique_directives(const std::vector<Directive>& written) {
+  void unique_directives(const List<Directive>& written) {
     if (written.size() < 2) return;
     std::unordered_map<std::string_view, Place> seen;
     for (const auto& directive : written) {
@@ -474,11 +477,10 @@
 
   // ---- whole selection sets ----
   void merge() {
-    const auto look = [&](const std::vector<Selection>& set, const Type* parent) {
+    const auto look = [&](const List<Selection>& set, const Type* parent) {
       if (full() || !parent || left_out_.test(static_cast<std::size_t>(Rule::field_selection_merging)))
         return;
-      if (auto found = find_conflict(schema_, fragments_, merges_, set, parent))
-        faults_.push_back(std::move(*found));
+      if (auto found = find_conflict(fragments_, merges_, set)) faults_.push_back(std::move(*found));
     };
     for (const auto& operation : document_.operations)
       look(operation.selections, schema_.root(operation.kind));
@@ -500,7 +502,7 @@
             "a subscription's field cannot be one of introspection");
     }
   }
-  void root_fields(const std::vector<Selection>& set, std::vector<const Selection*>& out,
+  void root_fields(const List<Selection>& set, std::vector<const Selection*>& out,
                    std::unordered_set<std::string_view>& spread) {
     for (const auto& s : set) {
       visits_.spend();
--- a/src/graphql/validator.h
+++ b/src/graphql/validator.h
@@ -14,8 +14,9 @@
 std::vector<Fault> validate(const Schema& schema, const Document& document, const FragmentIndex& fragments,
                             const Limits& limits, const RuleSet& left_out = {});
 
-// Field Selection Merging alone (section 5.3.2): the first conflict in that selection set, if there is one.
-std::optional<Fault> find_conflict(const Schema& schema, const FragmentIndex& fragments, Budget& budget,
-                                   const std::vector<Selection>& selections, const Type* parent);
+// Field Selection Merging alone (section 5.3.2), of a document whose other rules have been checked: the first
+// conflict in that selection set, if there is one.
+std::optional<Fault> find_conflict(const FragmentIndex& fragments, Budget& budget,
+                                   const List<Selection>& selections);
 
 }  // namespace cranemux::graphql
--- a/src/graphql/values.cpp
+++ b/src/graphql/values.cpp
@@ -381,7 +381,7 @@
   return out;
 }
 
-std::optional<json::Value> argument_value(const Input& input, const std::vector<Argument>& written,
+std::optional<json::Value> argument_value(const Input& input, const List<Argument>& written,
                                           const Variables& variables) {
   for (const auto& argument : written) {
     if (argument.name != input.name) continue;
--- a/src/graphql/values.h
+++ b/src/graphql/values.h
@@ -31,7 +31,7 @@
 // A literal with its variables put in; nothing where a variable has no value.
 std::optional<json::Value> resolve(const Value& value, const Variables& variables);
 // An argument's value: as written, else its default; nothing where it is left out.
-std::optional<json::Value> argument_value(const Input& input, const std::vector<Argument>& written,
+std::optional<json::Value> argument_value(const Input& input, const List<Argument>& written,
                                           const Variables& variables);
 
 // The name among these that was probably meant, as ` (did you mean X?)`, or nothing.
--- a/tests/graphql_proof.cpp
+++ b/tests/graphql_proof.cpp
@@ -1,7 +1,7 @@
 // Many thousands of mixed, retried GraphQL operations through three gatekeepers, against stand-in servers
-// that lose some answers. The checker of the rules counts for itself: units against each customer's store,
-// and runs of each booking. Guards the quota over all gatekeepers together, and bookings against a second
-// run. Usage: graphql_proof PROGRAM
+// that lose some answers and spoil others: costs by a schema, persisted documents, batches. The checker of
+// the rules counts for itself: units against each customer's store, and runs of each booking. Guards the
+// quota over all gatekeepers together, and bookings against a second run. Usage: graphql_proof PROGRAM
 #include <signal.h>
 
 #include <algorithm>
@@ -9,7 +9,9 @@
 #include <iostream>
 #include <map>
 #include <random>
+#include <set>
 
+#include "graphql/documents.h"
 #include "json/json.h"
 #include "testing/rig.h"
 
@@ -28,6 +30,18 @@
   const char* name;
   double rate, burst;
 };
+constexpr const char* kSchema = R"(
+type Query {
+  status(id: ID): Job
+  statuses(ids: [ID!]!): [Job] @listSize(slicingArguments: ["ids"])
+  jobs(first: Int): [Job] @listSize(slicingArguments: ["first"])
+}
+type Mutation { book(id: ID): Job @cost(weight: "1") }
+type Job { id: ID rider: Rider }
+type Rider { id: ID }
+)";
+constexpr const char* kPersisted = "query P($ids: [ID!]!) { statuses(ids: $ids) { id } }";
+
 constexpr Plan kPlans[] = {{"business", 9, 16}, {"citywide", 35, 69}};
 const Plan& plan_of(int customer) { return kPlans[customer % 2]; }
 
@@ -39,6 +53,8 @@
   std::mt19937 random{7};
   Clock::time_point end;
   std::map<std::string, int> bookings;  // runs by logical operation, over all its tries
+  std::set<std::string> unfit;          // tries whose answer is none of theirs
+  long not_found = 0;                   // persisted documents whose text was asked for
   long operations = 0, tries = 0, served = 0, unavailable = 0, failed = 0, lost = 0, declined = 0;
   int clients = 0;
 
@@ -73,20 +89,42 @@
     ++world.lost;
     out.answer = Behaviour::Answer::reset;
   }
+  if (fate >= 0.06 && fate < 0.08) world.unfit.insert(text_of(message, "try"));
   return out;
 }
 
+// What a server of that schema says to each kind of operation: as much as was paid for.
+std::string answer_to(const World& world, const http::Message& message) {
+  if (world.unfit.count(text_of(message, "try")) > 0) return R"({"data":{"unheard":1}})";
+  switch (std::stoi(text_of(message, "kind"))) {
+    case 0:
+      return R"({"data":{"status":{"id":1}}})";
+    case 2:
+      return R"({"data":{"a":{"id":1},"b":{"id":2}}})";
+    case 3:
+      return R"({"data":{"jobs":[{"rider":{"id":1}},{"rider":{"id":2}}]}})";
+    case 4:
+      return R"({"data":{"book":{"id":1}}})";
+    case 5:
+      return R"([{"data":{"a":{"id":1},"b":{"id":2},"c":{"id":3}}},{"data":{"book":{"id":1}}}])";
+    default:
+      return R"({"data":{"statuses":[{"id":1},{"id":2},{"id":3}]}})";
+  }
+}
+
 struct Operation {
   std::string text;  // with its variables
   double units = 1;
   bool books = false;
 };
 
-// Each kind's units are worked out by hand from the costs in the file: status 1, book 2, an object 1 more.
-Operation draw_operation(World& world, const std::string& name, int attempt) {
-  const int kind = static_cast<int>(world.draw() * 6);
+// Each kind's units are worked out by hand from the costs in the schema: an object 1, a booking 1 more.
+// `whole`: a persisted document with its text.
+Operation draw_operation(World& world, const std::string& name, int attempt, bool whole) {
+  const int kind = static_cast<int>(world.draw() * 7);
   const auto variables = [&](bool books, const std::string& more = "") {
-    return ",\"variables\":{\"try\":\"" + name + "-" + std::to_string(attempt) + "\"" + more +
+    return ",\"variables\":{\"kind\":\"" + std::to_string(kind) + "\",\"try\":\"" + name + "-" +
+           std::to_string(attempt) + (whole ? "w" : "") + "\"" + more +
            (books ? ",\"booking\":\"" + name + "\"" : "") + "}}";
   };
   switch (kind) {
@@ -105,21 +143,27 @@
       return {R"({"query":"{ jobs(first:2) { rider { id } } }")" + variables(false), 4};
     case 4:
       return {R"({"query":"mutation { book(id:1) { id } }")" + variables(true), 2, true};
-    default:  // the query that is feared: three statuses and a booking together
-      return {R"([{"query":"{ a: status b: status c: status }")" + variables(true) +
-                  R"(,{"query":"mutation { book }"}])",
+    case 5:  // the query that is feared: three statuses and a booking together
+      return {R"([{"query":"{ a: status { id } b: status { id } c: status { id } }")" + variables(true) +
+                  R"(,{"query":"mutation { book { id } }"}])",
               5, true};
+    default:
+      return {(whole ? "{\"query\":\"" + std::string(kPersisted) + "\"," : std::string("{")) +
+                  R"("extensions":{"persistedQuery":{"version":1,"sha256Hash":")" +
+                  graphql::sha256_hex(kPersisted) + "\"}}" + variables(false, ",\"ids\":[1,2,3]"),
+              3};
   }
 }
 
 void next_operation(World& world, int number, int i);
 
 // A client tries again what never ran, and a reading operation after any failure.
-void attempt(World& world, int number, int i, int customer, std::mt19937 state, int tries) {
+void attempt(World& world, int number, int i, int customer, std::mt19937 state, int tries,
+             bool whole = false) {
   const auto name = std::to_string(number) + "." + std::to_string(i);
   const auto later = std::exchange(world.random, state);  // each try of an operation is the same operation
-  const auto operation = draw_operation(world, name, tries);
-  if (tries > 0) world.random = later;
+  const auto operation = draw_operation(world, name, tries, whole);
+  if (tries > 0 || whole) world.random = later;
   Ask ask;
   ask.target = "/graphql";
   ask.safe = false;  // so it is sent as a POST; what may be repeated is for the operation to say
@@ -131,10 +175,14 @@
   ask.deadline = milliseconds(1500);
   ask.extra = "Content-Type: application/json\r\n" + std::string(tries > 0 ? "Req-Retry: 1\r\n" : "");
   ask.body = operation.text;
-  ask.id = name + "-" + std::to_string(tries);
+  ask.id = name + "-" + std::to_string(tries) + (whole ? "w" : "");
   ask.done = [&world, number, i, customer, state, tries,
               books = operation.books](const testing::Result& result) {
     const int status = result.status;
+    if (status == 400 && result.body.find("PERSISTED_QUERY_NOT_FOUND") != std::string::npos) {
+      ++world.not_found;
+      return attempt(world, number, i, customer, state, tries, true);
+    }
     assert(status == 200 || status == 429 || status == 502);
     ++(status == 200 ? world.served : status == 429 ? world.unavailable : world.failed);
     if (status == 200 || (status == 502 && books) || tries == 2) {
@@ -182,12 +230,12 @@
            {"name":"book-job","goal-time-ns":750000000,"give-up-ns":2000000000,"semantics":"single_shot"}],
            "contracts":[)" +
           plans + "]}}");
-  const auto costs =
-      folder.write(name + "-graphql.json",
-                   "{\"listen\":" + at(ports[n]) + ",\"servers\":[" + at(world.first.port()) + "," +
-                       at(world.second.port()) +
-                       R"(],"fields":{"status":{"cost":1},"jobs":{"cost":1,"size_argument":"first"},
-           "statuses":{"cost":1,"size_argument":"ids"},"book":{"cost":2,"booking":true}}})");
+  const auto costs = folder.write(
+      name + "-graphql.json",
+      "{\"listen\":" + at(ports[n]) + ",\"servers\":[" + at(world.first.port()) + "," +
+          at(world.second.port()) +
+          R"(],"schema":"schema.graphql","cost_in_answers":true,"persisted":{"automatic":true}})");
+  folder.write("schema.graphql", kSchema);
   return std::make_unique<Program>(
       program, std::vector<std::string>{"serve", "--log", "warning", "--graphql", costs},
       std::map<std::string, std::string>{{"ROUTER_CONFIG", config}}, folder.path("log"));
@@ -201,10 +249,7 @@
   World world;
   for (auto* node : {&world.first, &world.second}) {
     node->id = [](const http::Message& message) { return text_of(message, "try"); };
-    node->body = [](const http::Message& message) {
-      return std::string(message.body.starts_with("[") ? R"([{"data":null},{"data":null}])"
-                                                       : R"({"data":null})");
-    };
+    node->body = [&world](const http::Message& message) { return answer_to(world, message); };
     node->script = [&world](const http::Message& message) { return fate_of(world, message); };
   }
   std::vector<int> ports, peer_ports;
@@ -247,6 +292,11 @@
             << "units sent " << sent << " of " << allowed << " allowed, beyond the quota " << beyond << " ("
             << 100 * beyond / sent << "%)\n"
             << world.bookings.size() << " bookings run, most runs of one: " << most_runs << "\n";
+  std::cout << world.unfit.size() << " answers that did not fit, " << world.not_found
+            << " persisted documents asked for\n";
+  // Each gatekeeper asks for the text at least once, and not each time.
+  assert(world.not_found >= kGatekeepers && world.not_found < world.operations / 20 &&
+         world.unfit.size() > 20);
   assert(world.tries > 3000 && world.lost > 20 && world.unavailable > 500 && world.bookings.size() > 200);
   assert(beyond < 0.05 * sent);
   assert(sent > 0.5 * allowed);  // it has not kept the quota by refusing all
