Serve subscriptions over server-sent events, each event counted with the quota by the module

Need: subscriptions were refused, and the reading rules of GraphQL's clients stop at one answer. They must hold quotas, drains and one final answer as all else.

Change: a subscription is begun as a booking is run (what may have begun is never begun again); its node's connection leaves the attempt layer with the stream. Each event must fit the operation and is counted as an RPC that has been answered already, so quotas over all gatekeepers shape it and end it when they run out. One `complete` is its end, whatever ends it: the server's own, a break, an event that cannot be read or does not fit, the quota, a drain. Places are bounded in all and by customer; a client that takes nothing is cut, and its server waits while it is slow. Channels may stream (a state of their own, never evicted).

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -247,6 +247,11 @@
   while (!error && call.stop == Stop::none) {
     error = co_await net::read_some(socket, connection.buffer);
     if (call.stop != Stop::none || (error && error != net::asio::error::eof)) break;
+    if (payload.may_stream() &&
+        http::parse_head(connection.buffer, http::Kind::response, answer).state == http::State::whole &&
+        payload.streams(answer)) {
+      co_return begin_stream(call, answer);
+    }
     if (!error && connection.buffer.size() < verdict.need) continue;
     for (;;) {
       verdict = http::parse(connection.buffer, http::Kind::response, answer, error == net::asio::error::eof);
@@ -276,6 +281,19 @@
   co_return result;
 }
 
+// The connection leaves this layer with the stream; the attempt has ended well.
+core::AttemptResult Attempts::begin_stream(Call& call, const http::Message& head) {
+  auto& connection = *call.connection;
+  const bool chunked = http::same_name(head.field("Transfer-Encoding").value_or(""), "chunked");
+  connection.buffer.erase(0, head.size);
+  core::AttemptResult result;
+  result.stream =
+      std::make_shared<Upstream>(Upstream{std::move(connection.socket), std::move(connection.buffer), chunked,
+                                          std::move(connection.lease), call.worker->entry.name});
+  call.connection.reset();
+  return result;
+}
+
 net::awaitable<void> Attempts::sweep() {
   for (;;) {
     sweeper_.expires_after(kSweep);
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -21,10 +21,23 @@
  public:
   virtual std::string message(std::chrono::milliseconds patience) const = 0;
   virtual core::AttemptResult read(const http::Message& answer) const = 0;
+  // Does an answer with this head go on for as long as the worker likes? Then `read` is not asked, and the
+  // result's stream is an Upstream.
+  virtual bool streams(const http::Message&) const { return false; }
+  virtual bool may_stream() const { return false; }
   // What the gatekeeper answers itself, without a worker; nothing goes out then.
   virtual std::optional<core::AttemptResult> own_answer() const { return std::nullopt; }
 };
 
+// A connection on which an answer goes on: whoever takes it closes it.
+struct Upstream {
+  net::tcp::socket socket;
+  std::string buffer;  // what has come of the body
+  bool chunked = false;
+  pool::Lease lease;
+  std::string node;
+};
+
 struct Limits {
   std::chrono::nanoseconds connect_timeout{}, connection_idle{}, drain_grace{};
 };
@@ -84,6 +97,7 @@
   net::awaitable<void> run(std::shared_ptr<Call> call);
   net::awaitable<bool> open(Call& call);
   net::awaitable<core::AttemptResult> exchange(Call& call);
+  core::AttemptResult begin_stream(Call& call, const http::Message& head);
   std::unique_ptr<Connection> reuse(Worker& worker);
   core::AttemptResult broken(const Call& call) const;
   void limit(const std::shared_ptr<Call>& call, net::Clock::time_point at);
--- a/src/config/graphql_file.cpp
+++ b/src/config/graphql_file.cpp
@@ -16,7 +16,7 @@
     if (yaml_.map(root, "",
                   {"listen", "path", "servers", "classes", "limits", "object_cost", "leaf_cost", "usual_size",
                    "fields", "schema", "booking_fields", "persisted", "cache", "cost_in_answers",
-                   "introspection"})) {
+                   "introspection", "subscriptions"})) {
       if (alone) servers(root);
       out_.path = yaml_.text(root, "path", "", out_.path);
       if (!out_.path.starts_with('/')) yaml_.fault(root["path"], "path", "must start with /");
@@ -25,6 +25,7 @@
       costs(root);
       schema(root);
       persisted(root["persisted"]);
+      subscriptions(root["subscriptions"]);
       out_.engine.cache_bytes = yaml_.bytes(root, "cache", "", out_.engine.cache_bytes);
       out_.engine.introspection = yaml_.flag(root, "introspection", "", true);
       out_.cost_in_answers = yaml_.flag(root, "cost_in_answers", "", false);
@@ -125,6 +126,25 @@
     }
   }
 
+  void subscriptions(const YAML::Node& node) {
+    auto& limits = out_.subscriptions;
+    if (!node.IsDefined() ||
+        !yaml_.map(node, "subscriptions", {"most", "by_customer", "slow_reader", "keep_alive"})) {
+      return;
+    }
+    const auto count = [&](const char* name, std::size_t absent) {
+      return static_cast<std::size_t>(
+          yaml_.number(node, name, "subscriptions.", static_cast<double>(absent), 0, 100'000));
+    };
+    limits.most = count("most", 200);
+    limits.by_customer = count("by_customer", limits.by_customer);
+    limits.slow_reader = yaml_.span(node, "slow_reader", "subscriptions.", limits.slow_reader);
+    limits.keep_alive = yaml_.span(node, "keep_alive", "subscriptions.", limits.keep_alive);
+    if (limits.most > 0 && out_.engine.schema.empty()) {
+      yaml_.fault(node, "subscriptions", "need a schema, by which their events are priced");
+    }
+  }
+
   void persisted(const YAML::Node& node) {
     if (!node.IsDefined() || !yaml_.map(node, "persisted", {"automatic", "trusted", "only_trusted"})) return;
     auto& engine = out_.engine;
--- a/src/config/graphql_file.h
+++ b/src/config/graphql_file.h
@@ -3,6 +3,7 @@
 
 #include "config/config.h"
 #include "graphql/engine.h"
+#include "graphql/subscribers.h"
 
 namespace cranemux::config {
 
@@ -13,6 +14,7 @@
   std::string reading = "job-status", booking = "book-job";  // the classes that operations belong to
   bool cost_in_answers = false;                              // `extensions.cost`
   graphql::EngineConfig engine;
+  graphql::SubscriptionLimits subscriptions;
 };
 
 // Throws Error with a line for each fault, which names file, line, column and key. `alone`: the file tells
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -112,7 +112,8 @@
                          result.result == Result::moot;
   rpc.may_have_run = rpc.may_have_run || !never_ran;
   if (result.result == Result::ok && rpc.channel) {
-    finish(id, rpc, {.ending = Ending::served, .body = std::move(result.body)});
+    finish(id, rpc,
+           {.ending = Ending::served, .body = std::move(result.body), .stream = std::move(result.stream)});
   }
   cranemux::Outcome outcome;
   outcome.request = std::to_string(id);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -40,10 +40,11 @@
 enum class Ending { served, unavailable, failed };
 struct FinalAnswer {
   Ending ending = Ending::failed;
-  std::string body = {};      // served: the worker's
-  nanoseconds retry_after{};  // unavailable: when to come back
-  nanoseconds left{};         // unavailable: of the RPC's time
-  bool out = false;           // its call attempt may still be at work
+  std::string body = {};              // served: the worker's
+  std::shared_ptr<void> stream = {};  // served: what goes on, of a kind that front and attempts share
+  nanoseconds retry_after{};          // unavailable: when to come back
+  nanoseconds left{};                 // unavailable: of the RPC's time
+  bool out = false;                   // its call attempt may still be at work
 };
 
 // The client's side of an RPC. Called once for each RPC that the client has not left.
@@ -59,6 +60,7 @@
   cranemux::LoadReport load;
   std::string body;
   double true_units = 0;
+  std::shared_ptr<void> stream = {};
 };
 
 class CallAttempts {
--- a/src/front/channel_policy.cpp
+++ b/src/front/channel_policy.cpp
@@ -26,6 +26,8 @@
       return kReading;
     case ChannelState::waiting:
       return std::chrono::hours(24);  // the core answers in time
+    case ChannelState::streaming:
+      return std::chrono::hours(24 * 365);  // its source knows its bounds
     case ChannelState::writing:
       return kWriting;
     case ChannelState::idle:
--- a/src/front/channel_policy.h
+++ b/src/front/channel_policy.h
@@ -6,8 +6,8 @@
 
 namespace cranemux::front {
 
-// What a channel is doing: each but `waiting` has its time limit.
-enum class ChannelState { silent, reading, waiting, writing, idle, leaving };
+// What a channel is doing: each but `waiting` and `streaming` has its time limit.
+enum class ChannelState { silent, reading, waiting, writing, idle, leaving, streaming };
 
 // How long a channel may stay in a state. In a crowd an idle one has no more than a silent one.
 std::chrono::milliseconds time_limit(ChannelState state, bool crowded);
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -30,6 +30,7 @@
 HttpChannel::~HttpChannel() { cut(); }
 
 HttpChannel::State HttpChannel::state() const {
+  if (stream_) return State::streaming;
   if (waits_) return State::waiting;
   if (writing_) return State::writing;
   if (last_) return State::leaving;
@@ -138,12 +139,63 @@
   out_ += http::reason(reply.status);
   out_ += "\r\nContent-Type: ";
   out_ += reply.type;
-  out_ += "\r\nContent-Length: " + std::to_string(reply.body.size()) + "\r\n" + reply.fields;
+  out_ += "\r\n";
+  if (reply.stream) {
+    last_ = true;  // its end is the channel's
+    stream_ = reply.stream;
+  } else {
+    out_ += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
+  }
+  out_ += reply.fields;
   if (last_) out_ += "Connection: close\r\n";
   out_ += "\r\n";
   out_ += reply.body;
   sent_ = 0;
   write();
+  if (reply.stream) broken_ ? reply.stream->closed() : reply.stream->begin(shared_from_this());
+}
+
+bool HttpChannel::send(std::string_view part) {
+  if (broken_ || !stream_ || stream_ends_) return false;
+  if (writing_) {
+    next_ += part;
+  } else {
+    out_ = part;
+    sent_ = 0;
+    write();
+  }
+  counted();
+  return !broken_;
+}
+
+void HttpChannel::end_stream() {
+  stream_ends_ = true;
+  if (!writing_ && !broken_) written();
+}
+
+void HttpChannel::drain() {
+  if (const auto stream = stream_) return stream->drain();
+  close_between_requests();
+}
+
+net::awaitable<void> HttpChannel::write_stream(std::shared_ptr<HttpChannel>) {
+  while (sent_ < out_.size()) {
+    const auto [error, count] = co_await socket_.async_write_some(
+        net::asio::buffer(out_.data() + sent_, out_.size() - sent_), net::kResult);
+    if (error || broken_) {
+      writing_ = false;
+      cut();
+      co_return;
+    }
+    sent_ += count;
+    since_ = net::Clock::now();
+    if (sent_ < out_.size()) continue;
+    out_ = std::exchange(next_, {});
+    sent_ = 0;
+  }
+  writing_ = false;
+  written();
+  counted();
 }
 
 // Most answers fit the socket's buffer and go at once; a coroutine writes the rest of others.
@@ -154,7 +206,8 @@
   if (sent_ == out_.size()) return written();
   writing_ = true;
   since_ = net::Clock::now();
-  net::spawn(socket_.get_executor(), server_.logger_, "answer", write_rest(shared_from_this()));
+  net::spawn(socket_.get_executor(), server_.logger_, "answer",
+             stream_ ? write_stream(shared_from_this()) : write_rest(shared_from_this()));
 }
 
 net::awaitable<void> HttpChannel::write_rest(std::shared_ptr<HttpChannel> self) {
@@ -174,15 +227,18 @@
 
 void HttpChannel::written() {
   std::string().swap(out_);
+  sent_ = 0;
   spoke_ = true;
   since_ = net::Clock::now();
+  if (stream_ && !stream_ends_) return;
+  stream_.reset();
   if (last_) shut();
 }
 
 // Ends the sending; the client's end, or the time limit, ends the reading.
 void HttpChannel::place() {
   const auto now = state();
-  const bool busy = !left_ && (now == State::waiting || now == State::writing);
+  const bool busy = !left_ && (now == State::waiting || now == State::writing || now == State::streaming);
   const bool idle = !left_ && now == State::idle;
   if (busy != std::exchange(in_busy_, busy)) server_.busy_ += busy ? 1 : -1;
   if (idle == in_idle_) return;
@@ -206,8 +262,10 @@
   socket_.close(ignored);
   context_.reset();
   server_.bytes_ -= std::exchange(counted_, 0);
+  const auto stream = std::exchange(stream_, nullptr);
   place();
   server_.left(this);
+  if (stream) stream->closed();
 }
 
 void HttpChannel::counted() {
@@ -251,13 +309,14 @@
       ++server_.counters_.channels_cut;
       return cut();
     case State::waiting:
+    case State::streaming:
       return;
   }
 }
 
 bool HttpChannel::evict() {
   const auto now = state();
-  if (now == State::waiting || now == State::writing) return false;
+  if (now == State::waiting || now == State::writing || now == State::streaming) return false;
   if ((now == State::idle || now == State::silent) && unread()) return false;
   ++server_.counters_.channels_evicted;
   cut();
@@ -299,7 +358,7 @@
   const auto now = net::Clock::now();
   for (auto* channel : channels_) {
     const auto state = channel->state();
-    if (state == State::waiting || state == State::writing) continue;
+    if (state == State::waiting || state == State::writing || state == State::streaming) continue;
     candidates.emplace_back(eviction_rank(state, now - channel->since()), channel->since(), channel);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -372,7 +431,7 @@
 
 void ChannelServer::drain() {
   draining_ = true;
-  for (auto* channel : channels()) channel->close_between_requests();
+  for (auto* channel : channels()) channel->drain();
 }
 
 void ChannelServer::stop() {
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -20,11 +20,23 @@
 
 class ChannelServer;
 
+class HttpChannel;
+
+// What sends on after an answer's head, until it ends the channel.
+class StreamSource {
+ public:
+  virtual ~StreamSource() = default;
+  virtual void begin(std::shared_ptr<HttpChannel> channel) = 0;  // the head is on its way
+  virtual void closed() = 0;                                     // the client has gone, or was cut
+  virtual void drain() = 0;                                      // ends in order, soon
+};
+
 struct Reply {
   int status = 200;
   std::string body;
   std::string fields = {};  // further header lines, each with its end
   std::string_view type = "application/octet-stream";
+  std::shared_ptr<StreamSource> stream = {};  // then `body` is only the first part
 };
 
 // One client's connection.
@@ -35,11 +47,17 @@
   net::awaitable<void> run();
   void answer(core::RpcId rpc, core::FinalAnswer&& answer) override;
   void close_between_requests();
+  // Of a stream: a part goes to the client, or waits until it takes more. False: the client has gone.
+  bool send(std::string_view part);
+  std::size_t unsent() const { return out_.size() - sent_ + next_.size(); }
+  net::Clock::time_point took_last() const { return since_; }  // the client has taken something
+  void end_stream();                                           // once all is sent
+  void drain();  // a stream ends in order, an idle channel at once
 
   using State = ChannelState;
   State state() const;
   net::Clock::time_point since() const { return since_; }  // this state began
-  std::size_t bytes() const { return in_.capacity() + out_.capacity() + body_; }
+  std::size_t bytes() const { return in_.capacity() + out_.capacity() + next_.capacity() + body_; }
   void cut();
   void time_out();  // its limit is over: says so, where the client has begun a request, and closes
   bool evict();     // closes it at once, unless something has come on it that is not read yet
@@ -49,6 +67,7 @@
   void reply(const Reply& reply);
   void write();
   net::awaitable<void> write_rest(std::shared_ptr<HttpChannel> self);
+  net::awaitable<void> write_stream(std::shared_ptr<HttpChannel> self);
   void written();
   void shut();
   void counted();
@@ -68,7 +87,10 @@
   std::shared_ptr<void> context_;  // the front's own, for the answer
   net::Clock::time_point since_ = net::Clock::now();
   bool waits_ = false, writing_ = false, last_ = false, broken_ = false, processing_ = false, left_ = false;
-  bool spoke_ = false;   // has had an answer
+  bool spoke_ = false;  // has had an answer
+  std::shared_ptr<StreamSource> stream_;
+  std::string next_;  // of a stream, behind `out_`
+  bool stream_ends_ = false;
   bool paused_ = false;  // holds enough; reads on once it has answered
 };
 
--- a/src/front/graphql/exchange.cpp
+++ b/src/front/graphql/exchange.cpp
@@ -56,6 +56,17 @@
 
 }  // namespace
 
+std::string error_body(const std::string& code, const std::string& what, std::chrono::nanoseconds retry) {
+  std::string out = "{\"errors\":[{\"message\":";
+  json::write_string(out, what);
+  out += ",\"extensions\":{\"code\":";
+  json::write_string(out, code);
+  if (retry.count() > 0) {
+    out += ",\"retryAfterMs\":" + std::to_string(std::chrono::ceil<std::chrono::milliseconds>(retry).count());
+  }
+  return out + "}}]}";
+}
+
 std::string forwarded(const json::Value& request, const std::vector<graphql::Admitted>& admitted) {
   json::Value out;
   if (const auto* batch = request.array()) {
@@ -81,11 +92,14 @@
 }
 
 std::string GraphqlExchange::message(std::chrono::milliseconds patience) const {
-  return "POST " + path_ +
-         " HTTP/1.1\r\nHost: graphql\r\nContent-Type: application/json\r\nAccept: " + std::string(kNewType) +
-         ", " + std::string(kOldType) + "\r\nReq-Kind: " + (booking_ ? "booking" : "reading") +
-         "\r\nReq-Deadline-Ms: " + std::to_string(patience.count()) +
-         "\r\nContent-Length: " + std::to_string(body_.size()) + "\r\n\r\n" + body_;
+  std::string out =
+      "POST " + path_ + " HTTP/1.1\r\nHost: graphql\r\nContent-Type: application/json\r\nAccept: ";
+  if (may_stream()) out.append(kEventType).append(", ");
+  out.append(kNewType).append(", ").append(kOldType);
+  out.append("\r\nReq-Kind: ").append(booking_ ? "booking" : "reading");
+  out += "\r\nReq-Deadline-Ms: " + std::to_string(patience.count());
+  out += "\r\nContent-Length: " + std::to_string(body_.size()) + "\r\n\r\n";
+  return out + body_;
 }
 
 core::AttemptResult GraphqlExchange::read(const http::Message& answer) const {
@@ -119,6 +133,15 @@
   return result;
 }
 
+bool GraphqlExchange::may_stream() const {
+  return admitted_.front().kind == graphql::OperationKind::subscription;
+}
+
+bool GraphqlExchange::streams(const http::Message& head) const {
+  const auto type = head.field("Content-Type").value_or("");
+  return head.status == 200 && http::same_name(http::trim(type.substr(0, type.find(';'))), kEventType);
+}
+
 std::optional<core::AttemptResult> GraphqlExchange::own_answer() const {
   const bool all =
       std::all_of(admitted_.begin(), admitted_.end(), [](const auto& one) { return one.introspects; });
--- a/src/front/graphql/exchange.h
+++ b/src/front/graphql/exchange.h
@@ -7,8 +7,11 @@
 namespace cranemux::front {
 
 // The media types of GraphQL over HTTP: the newer one, and the one before it.
+constexpr std::string_view kEventType = "text/event-stream";
 constexpr std::string_view kNewType = "application/graphql-response+json", kOldType = "application/json";
 
+std::string error_body(const std::string& code, const std::string& what, std::chrono::nanoseconds retry = {});
+
 class GraphqlExchange : public attempt::Exchange {
  public:
   // `cost_in_answers`: `extensions.cost` is told to the client.
@@ -19,6 +22,8 @@
   // not fit what was asked is spoilt: a failed attempt that may have run.
   core::AttemptResult read(const http::Message& answer) const override;
   std::optional<core::AttemptResult> own_answer() const override;  // of introspection alone
+  bool may_stream() const override;                                // a subscription
+  bool streams(const http::Message& head) const override;
 
  private:
   bool read_one(const json::Value& answer, const graphql::Admitted& asked, double& cost) const;
--- a/src/front/graphql/graphql.cpp
+++ b/src/front/graphql/graphql.cpp
@@ -10,25 +10,20 @@
 namespace cranemux::front {
 namespace {
 
+constexpr std::chrono::seconds kSubscriptionComeBack{5};
 constexpr double kMostTimes = 50;  // the module's weights tell requests apart up to so many times most_units
 
-std::string error_body(const std::string& code, const std::string& what,
-                       std::chrono::nanoseconds retry = {}) {
-  std::string out = "{\"errors\":[{\"message\":";
-  json::write_string(out, what);
-  out += ",\"extensions\":{\"code\":";
-  json::write_string(out, code);
-  if (retry.count() > 0) {
-    out += ",\"retryAfterMs\":" + std::to_string(std::chrono::ceil<std::chrono::milliseconds>(retry).count());
-  }
-  return out + "}}]}";
-}
-
 Reply unavailable_as(std::string_view type, std::chrono::nanoseconds come_back) {
   return {429, error_body("UNAVAILABLE", "not run: come back later", come_back), retry_after_field(come_back),
           type};
 }
 
+std::string one_line(std::string text) {
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  std::replace(text.begin(), text.end(), '\r', ' ');
+  return text;
+}
+
 // Media types that a client accepts: ours, if any of them is.
 std::optional<std::string_view> media_type(const http::Message& message) {
   const auto accept = message.field("Accept");
@@ -36,6 +31,8 @@
   for (const auto any : {kOldType, std::string_view("application/*"), std::string_view("*/*")}) {
     if (accept->find(any) != std::string_view::npos) return kOldType;
   }
+  // A stream takes an answer as its one event.
+  if (accept->find(kEventType) != std::string_view::npos) return kEventType;
   return std::nullopt;
 }
 
@@ -43,6 +40,7 @@
 int status_of(const std::string& code, std::string_view type) {
   if (code == "METHOD_NOT_ALLOWED") return 405;
   if (code == "UNSUPPORTED_MEDIA_TYPE") return 415;
+  if (code == "NOT_ACCEPTABLE") return 406;
   const bool formed = code != "BAD_REQUEST" && code != "COST_MISMATCH" && code != "UNIDENTIFIED";
   return formed && type == kOldType ? 200 : 400;
 }
@@ -112,6 +110,7 @@
 
 struct GraphqlFront::Context {
   std::string_view type;
+  std::shared_ptr<Subscriber> subscriber;  // of a subscription
 };
 
 namespace {
@@ -170,7 +169,10 @@
   for (std::size_t i = 0; i < count; ++i) {
     auto one = setup_.engine->admit(batch ? (*batch)[i] : request, safe_method);
     if (one.kind == graphql::OperationKind::subscription) {
-      throw graphql::Error("OPERATION_NOT_SUPPORTED", "subscriptions are not served here");
+      if (setup_.file.subscriptions.most == 0) {
+        throw graphql::Error("OPERATION_NOT_SUPPORTED", "subscriptions are not served here");
+      }
+      if (batch) throw graphql::Error("BAD_REQUEST", "a subscription cannot stand in a batch");
     }
     out.units += one.units;
     out.booking = out.booking || one.booking;
@@ -202,11 +204,15 @@
                        "the operation costs " + std::to_string(std::llround(operations.units)));
 }
 
-void GraphqlFront::check_burst(const core::RpcTerms& terms) {
+// What a plan's store may ever hold, as far as the module can weigh it.
+double GraphqlFront::most_units(const core::RpcTerms& terms) const {
   const auto* plan = core_.plan(terms.plan);
-  const double most = std::min(plan->rate > 0 ? plan->burst : core_.settings().most_units,
-                               kMostTimes * core_.settings().most_units);
-  if (terms.units <= most) return;
+  return std::min(plan->rate > 0 ? plan->burst : core_.settings().most_units,
+                  kMostTimes * core_.settings().most_units);
+}
+
+void GraphqlFront::check_burst(const core::RpcTerms& terms) {
+  if (terms.units <= most_units(terms)) return;
   ++counters_.graphql_over_burst;
   throw graphql::Error("COST_ABOVE_BURST", "the operation costs " +
                                                std::to_string(std::llround(terms.units)) +
@@ -219,7 +225,10 @@
   const auto type = media_type(message);
   const auto reject = [&](int status, const std::string& code, const std::string& what) {
     ++counters_.graphql_rejected;
-    return Handled{Reply{status, error_body(code, what), {}, type.value_or(kOldType)}};
+    return Handled{Reply{status,
+                         error_body(code, what),
+                         {},
+                         type.value_or(kOldType) == kEventType ? kNewType : type.value_or(kOldType)}};
   };
   const auto target = incoming.target.empty() ? message.target : incoming.target;
   if (target.substr(0, target.find('?')) != setup_.file.path) {
@@ -232,12 +241,37 @@
     return reject(400, "BAD_REQUEST", error.what());
   } catch (const graphql::Rejected& rejected) {
     ++counters_.graphql_rejected;
-    return {Reply{status_of(rejected.code, *type), body_of(rejected), {}, *type}};
+    return {Reply{
+        status_of(rejected.code, *type), body_of(rejected), {}, *type == kEventType ? kNewType : *type}};
   } catch (const graphql::Error& error) {
     return reject(status_of(error.code, *type), error.code, error.what());
   }
 }
 
+// None: too many are open. Throws where the client can't take events.
+std::shared_ptr<Subscriber> GraphqlFront::subscriber_of(const http::Message& message,
+                                                        const graphql::Admitted& admitted,
+                                                        const core::RpcTerms& terms) {
+  if (message.field("Accept").value_or("").find(kEventType) == std::string_view::npos) {
+    throw graphql::Error("NOT_ACCEPTABLE", "a subscription needs Accept: text/event-stream");
+  }
+  const auto& limits = setup_.file.subscriptions;
+  auto place = subscribers_.take(terms.customer, limits);
+  if (!place) return nullptr;
+  auto event = terms;
+  event.klass = setup_.file.reading;
+  event.budget = core_.patience_of(event.klass);
+  event.repeat = false;
+  return std::make_shared<Subscriber>(
+      Subscriber{admitted, event, most_units(terms), limits, std::move(place)});
+}
+
+GraphqlFront::~GraphqlFront() {
+  for (const auto& weak : std::exchange(open_, {})) {
+    if (const auto one = weak.lock()) one->end();
+  }
+}
+
 Handled GraphqlFront::take(const Incoming& incoming) {
   const auto& message = incoming.message;
   const auto request = read_request(message);
@@ -248,11 +282,20 @@
   check_stated(message, request, operations);
   terms.units = operations.units;
   check_burst(terms);
-  terms.klass = operations.booking ? setup_.file.booking : setup_.file.reading;
+  auto context = std::make_shared<Context>(Context{*media_type(message), {}});
+  const bool subscribes = operations.admitted.front().kind == graphql::OperationKind::subscription;
+  if (subscribes) {
+    context->subscriber = subscriber_of(message, operations.admitted.front(), terms);
+    if (!context->subscriber) {
+      ++counters_.subscriptions_refused;
+      return {unavailable_as(kNewType, kSubscriptionComeBack)};
+    }
+  }
+  // One that may have begun is never begun again: as a booking.
+  terms.klass = operations.booking || subscribes ? setup_.file.booking : setup_.file.reading;
   if (terms.budget.count() <= 0) terms.budget = core_.patience_of(terms.klass);
   terms.budget = std::max(std::chrono::nanoseconds{}, terms.budget - incoming.waited);
   ++counters_.graphql_taken;
-  auto context = std::make_shared<Context>(Context{*media_type(message)});
   auto body = forwarded(request, operations.admitted);
   auto payload =
       std::make_shared<GraphqlExchange>(setup_.file.path, std::move(body), std::move(operations.admitted),
@@ -277,7 +320,22 @@
 }
 
 Reply GraphqlFront::answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) {
-  const auto type = static_cast<const Context*>(context.get())->type;
+  auto& asked = *static_cast<Context*>(context.get());
+  if (answer.stream && asked.subscriber) {
+    auto up = std::static_pointer_cast<attempt::Upstream>(std::move(answer.stream));
+    auto made = std::make_shared<Subscription>(std::move(*asked.subscriber), std::move(up), core_, counters_);
+    std::erase_if(open_, [](const auto& weak) { return weak.expired(); });
+    open_.push_back(made);
+    return {200, "", "Cache-Control: no-cache\r\n", kEventType, std::move(made)};
+  }
+  if (asked.type == kEventType && answer.ending == core::Ending::served) {
+    return {
+        200,
+        graphql::event_text("next", one_line(std::move(answer.body))) + graphql::event_text("complete", ""),
+        {},
+        kEventType};
+  }
+  const auto type = asked.type == kEventType ? kNewType : asked.type;
   if (answer.ending == core::Ending::served) {
     // The newer media type tells a request error by its status.
     const bool data = type == kOldType || answer.body.find("\"data\"") != std::string::npos;
--- a/src/front/graphql/graphql.h
+++ b/src/front/graphql/graphql.h
@@ -5,6 +5,7 @@
 #include "attempt/attempts.h"
 #include "config/graphql_file.h"
 #include "front/channel_server.h"
+#include "front/graphql/subscription.h"
 
 namespace cranemux::front {
 
@@ -19,6 +20,7 @@
 class GraphqlFront : public Front {
  public:
   GraphqlFront(core::Core& core, GraphqlSetup setup, metrics::Counters& counters);
+  ~GraphqlFront() override;  // subscriptions end in order
   // From now on: what has been admitted ends under what it was admitted under.
   void adopt(GraphqlSetup setup) { setup_ = std::move(setup); }
   const GraphqlSetup& setup() const { return setup_; }
@@ -36,11 +38,16 @@
   Handled take(const Incoming& incoming);
   Operations admit(const json::Value& request, bool safe_method) const;
   void check_stated(const http::Message& message, const json::Value& request, const Operations& operations);
+  double most_units(const core::RpcTerms& terms) const;
   void check_burst(const core::RpcTerms& terms);
+  std::shared_ptr<Subscriber> subscriber_of(const http::Message& message, const graphql::Admitted& admitted,
+                                            const core::RpcTerms& terms);
 
   core::Core& core_;
   GraphqlSetup setup_;
   metrics::Counters& counters_;
+  graphql::Subscribers subscribers_;
+  std::vector<std::weak_ptr<Subscription>> open_;
 };
 
 }  // namespace cranemux::front
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -26,6 +26,8 @@
   Count reloads = 0, reloads_rejected = 0;
   Count resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
   Count graphql_taken = 0, graphql_rejected = 0, graphql_cost_mismatch = 0, graphql_over_burst = 0;
+  Count subscriptions_opened = 0, subscriptions_refused = 0, subscriptions_failed = 0, subscriptions_cut = 0;
+  Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
 
   template <typename Visit>
@@ -91,6 +93,11 @@
     visit("graphql_rejected", self.graphql_rejected);
     visit("graphql_cost_mismatch", self.graphql_cost_mismatch);
     visit("graphql_over_burst", self.graphql_over_burst);
+    visit("subscriptions_opened", self.subscriptions_opened);
+    visit("subscriptions_refused", self.subscriptions_refused);
+    visit("subscriptions_failed", self.subscriptions_failed);
+    visit("subscriptions_cut", self.subscriptions_cut);
+    visit("subscription_events", self.subscription_events);
     visit("exports_sent", self.exports_sent);
     visit("exports_dropped", self.exports_dropped);
   }
--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -100,6 +100,19 @@
   talks_.erase(talk.get());
 }
 
+net::awaitable<void> Node::stream(Talk& talk, Events events) {
+  const std::weak_ptr<char> alive = alive_;
+  std::string out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+  for (net::asio::steady_timer pause(stage_.io()); !alive.expired() && talk.socket.is_open();) {
+    const auto [error, count] =
+        co_await net::asio::async_write(talk.socket, net::asio::buffer(out), net::kResult);
+    if (error || alive.expired() || talk.ended()) co_return;
+    out = events.text;
+    pause.expires_after(events.every);
+    co_await pause.async_wait(net::kResult);
+  }
+}
+
 // False: the connection is of no further use.
 net::awaitable<bool> Node::answer(Talk& talk, const http::Message& message, const std::string& known) {
   using Answer = Behaviour::Answer;
@@ -109,6 +122,10 @@
     ++runs_[known];
     if (rules_ && !known.empty()) rules_->ran(known);
   }
+  if (const auto told = events ? events(message) : std::nullopt) {
+    co_await stream(talk, *told);
+    co_return false;
+  }
   auto text = body ? body(message) : name_ + " " + known;
   const auto until = Clock::now() + (act.answer == Answer::stall ? milliseconds(3'600'000) : act.delay);
   // A caller that gives up closes: then it is over at once.
--- a/testing/node.h
+++ b/testing/node.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http/http.h"
@@ -26,6 +27,12 @@
   milliseconds delay{5};  // from the request's last byte to the answer
 };
 
+// Server-sent events instead of an answer: a text again and again, until the caller goes.
+struct Events {
+  std::string text;
+  milliseconds every{20};
+};
+
 class Node {
  public:
   // `name` is what the rules and the answers call it. `body`: of a good answer, where it is another.
@@ -42,7 +49,8 @@
   std::function<Behaviour(const http::Message&)> script;  // instead, by request
   std::function<std::string(const http::Message&)> body;  // of a good answer
   std::function<std::string(const http::Message&)> id;    // of a request: its Req-Id, where nothing is set
-  void close();                                           // stops listening, and breaks all connections
+  std::function<std::optional<Events>(const http::Message&)> events;  // none: an answer as ever
+  void close();  // stops listening, and breaks all connections
 
   std::size_t taken() const { return taken_; }  // requests whose last byte has come
   const std::map<std::string, std::size_t>& runs() const { return runs_; }  // by request id
@@ -54,6 +62,7 @@
   net::awaitable<void> serve(std::shared_ptr<Talk> talk);
   void look(const std::string& id);
   void over(Talk& talk);
+  net::awaitable<void> stream(Talk& talk, Events events);
   net::awaitable<bool> answer(Talk& talk, const http::Message& message, const std::string& id);
 
   Stage& stage_;
--- a/tests/player.cpp
+++ b/tests/player.cpp
@@ -4,12 +4,15 @@
 // discovery. `A> text` sends and `A< text` expects bytes, with escapes as in C for carriage return, line end
 // and backslash, and * for any bytes; lines of one kind in a row are one text. `A close` closes, `A reset`
 // breaks off, `strangers 9` sends so many requests of customers never seen, each with no time left, `A end`
-// expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql` starts the program,
+// expects the end, `A quiet 100` expects nothing for so many ms. `serve platform|graphql|schema` starts the
+// program
+// (`schema`: GraphQL with a schema and subscriptions),
 // with a third word `ops` also with console (`open C`), Graphite (`accept G`) and collectd (`accept K`), and
 // `crowd 20` opens so many silent channels, `idle 20` so many that have had an answer, `sockets 64` before
 // `serve` sets limits.sockets, `few 40` before `serve` limits the program's descriptors, and `refuse` before
 // it leaves the worker's port closed. `term` sends SIGTERM; `exit` expects a clean end. `reload E` writes a
-// configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty; then SIGHUP.
+// configuration whose discovery is at `E` (`accept E`), `reload bad` one that is faulty, `reload schema`
+// another schema and `reload damaged` one that is none; then SIGHUP.
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
@@ -129,7 +132,7 @@
 
   void clean() {
     if (child_ > 0) ::kill(child_, SIGKILL);
-    for (const auto* end : {".json", "-graphql.json", ".console", ".collectd"})
+    for (const auto* end : {".json", "-graphql.json", ".graphql", ".console", ".collectd"})
       ::unlink((folder_ + end).c_str());
   }
 
@@ -238,6 +241,9 @@
                                       : worker_.fd;
       if (!ready(listener, kPatienceMs)) fail("nobody connects");
       fds_[b] = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    } else if (a == "reload" && (b == "schema" || b == "damaged")) {
+      write_schema(b == "damaged" ? "type Query {" : kOtherSchema);
+      ::kill(child_, SIGHUP);
     } else if (a == "reload") {
       configure(b == "E" ? other_.port : discovery_.port, b == "bad" ? "\"limits\":{\"sockets\":1}," : "");
       ::kill(child_, SIGHUP);
@@ -277,6 +283,8 @@
         << ",\"zone\":\"z\",\"status\":\"active\",\"since_ms\":0}]},\"settings\":" << kSettings << "}";
   }
 
+  void write_schema(const char* text) { std::ofstream(folder_ + ".graphql") << text; }
+
   void serve(const std::string& front, bool ops) {
     console_ = folder_ + ".console";
     const auto collectd = folder_ + ".collectd", graphite = "127.0.0.1:" + std::to_string(graphite_.port);
@@ -290,8 +298,12 @@
     port_ = cranemux::testing::free_port();
     if (worker_port_ == 0) worker_port_ = worker_.port;
     configure(discovery_.port, limits_);
-    std::ofstream(folder_ + "-graphql.json") << "{\"listen\":" << here(port_) << ",\"servers\":["
-                                             << here(worker_port_) << "],\"fields\":" << kFields << "}";
+    write_schema(kSchema);
+    std::ofstream(folder_ + "-graphql.json")
+        << "{\"listen\":" << here(port_) << ",\"servers\":[" << here(worker_port_) << "],"
+        << (front == "schema" ? "\"schema\":\"" + folder_ + ".graphql\"," + kSubscriptions
+                              : std::string("\"fields\":") + kFields)
+        << "}";
     child_ = ::fork();
     if (child_ == 0) {
       const rlimit few{descriptors_, descriptors_};
@@ -299,7 +311,7 @@
       ::setenv("ROUTER_CONFIG", (folder_ + ".json").c_str(), 1);
       for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"}) ::unsetenv(name);
       const auto file = folder_ + "-graphql.json";
-      if (front == "graphql") {
+      if (front == "graphql" || front == "schema") {
         ::execl(program_, program_, "serve", "--graphql", file.c_str(), nullptr);
       } else if (ops) {
         ::execl(program_, program_, "serve", "--console", console_.c_str(), "--graphite", graphite.c_str(),
@@ -331,6 +343,15 @@
   static constexpr const char* kFields = R"({"status":{"cost":1},"node":{"cost":1},"jobs":{"cost":1,
     "size_argument":"first"},"statuses":{"cost":1,"size_argument":"ids"},"book":{"cost":2,"booking":true}})";
 
+  static constexpr const char* kSchema = R"(
+    type Query { job(id: ID): Job jobs(first: Int): [Job] @listSize(slicingArguments: ["first"]) }
+    type Mutation { book(id: ID): Job @cost(weight: "1") }
+    type Subscription { moved(id: ID): Job }
+    type Job { id: ID state: String })";
+  static constexpr const char* kOtherSchema = "type Query { other: Int } type Subscription { other: Int }";
+  static constexpr const char* kSubscriptions =
+      R"("subscriptions":{"most":3,"by_customer":2,"slow_reader":"1s","keep_alive":"300ms"})";
+
   const char* program_;
   const std::string folder_ = "exchange-" + std::to_string(::getpid());
   Listener worker_, discovery_, other_, graphite_;
