Prove subscriptions over three gatekeepers with servers that break off

Need: graphql_proof had no subscriptions, and its stand-in client of events was written for one test.

Change: testing/subscriber is the shared stand-in; a node's events may end after so many or at a time, by breaking off. graphql_proof keeps 24 subscribers of four customers beside its mixed operations: none is begun twice, each open one ends with one `complete`, and beginnings and events together keep to the quota over all three gatekeepers.

--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -103,10 +103,12 @@
 net::awaitable<void> Node::stream(Talk& talk, Events events) {
   const std::weak_ptr<char> alive = alive_;
   std::string out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+  std::size_t sent = 0;
   for (net::asio::steady_timer pause(stage_.io()); !alive.expired() && talk.socket.is_open();) {
     const auto [error, count] =
         co_await net::asio::async_write(talk.socket, net::asio::buffer(out), net::kResult);
     if (error || alive.expired() || talk.ended()) co_return;
+    if ((events.most > 0 && sent++ == events.most) || Clock::now() >= events.until) co_return;
     out = events.text;
     pause.expires_after(events.every);
     co_await pause.async_wait(net::kResult);
--- a/testing/node.h
+++ b/testing/node.h
@@ -27,10 +27,13 @@
   milliseconds delay{5};  // from the request's last byte to the answer
 };
 
-// Server-sent events instead of an answer: a text again and again, until the caller goes.
+// Server-sent events instead of an answer: a text again and again, until the caller goes, or so many times;
+// then it breaks off.
 struct Events {
   std::string text;
   milliseconds every{20};
+  std::size_t most = 0;                                // 0: without end
+  Clock::time_point until = Clock::time_point::max();  // then it breaks off, too
 };
 
 class Node {
--- a/tests/subscriptions_test.cpp
+++ b/tests/subscriptions_test.cpp
@@ -1,11 +1,12 @@
-// Many subscriptions at once through the program: a drain with all of them open, and one whose client stops
-// reading.
+// Many subscriptions at once through the program: a drain with all of them
+// open, and one whose client stops reading.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <fstream>
 
 #include "testing/rig.h"
+#include "testing/subscriber.h"
 
 namespace {
 
@@ -18,25 +19,13 @@
 type Job { id: ID note: String })";
 constexpr const char* kDocument = "subscription ($size: Int) { moved(id: 1, size: $size) { id note } }";
 
-// One client: what has come so far, and whether the channel has ended.
-struct Subscriber {
-  explicit Subscriber(Stage& stage) : socket(stage.io()) {}
-  net::tcp::socket socket;
-  std::string got;
-  bool ended = false, reads = true;
-  std::size_t count(const std::string& what) const {
-    std::size_t out = 0;
-    for (auto at = got.find(what); at != std::string::npos; at = got.find(what, at + 1)) ++out;
-    return out;
-  }
-};
-
 struct subscriptions : ::testing::Test {
   subscriptions() : rig(std::getenv("CRANEMUX_PROGRAM")), api(free_port()) {
     rig.folder.write("schema.graphql", kSchema);
     rig.folder.write("graphql.yaml",
                      "schema: schema.graphql\n"
-                     "subscriptions: {most: 250, by_customer: 250, slow_reader: 500ms, keep_alive: 10s}\n");
+                     "subscriptions: {most: 250, by_customer: 250, "
+                     "slow_reader: 500ms, keep_alive: 10s}\n");
     rig.file.listeners = "{web: {listen: \"127.0.0.1:" + std::to_string(rig.port) +
                          "\"}, api: {listen: \"127.0.0.1:" + std::to_string(api) +
                          "\", front: graphql, graphql: graphql.yaml}}";
@@ -53,25 +42,12 @@
     if (!wait_for_listener(api)) throw std::runtime_error("no listener");
   }
 
-  net::awaitable<void> talk(std::shared_ptr<Subscriber> one, int size) {
-    const auto body = std::string("{\"query\":\"") + kDocument +
-                      "\",\"variables\":{\"size\":" + std::to_string(size) + "}}";
-    const auto request =
-        "POST /graphql HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nAccept: text/event-stream\r\n"
-        "X-Tier: business\r\nCookie: client=0000000000000001\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body;
-    const net::tcp::endpoint at(net::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(api));
-    co_await one->socket.async_connect(at, net::kResult);
-    co_await net::asio::async_write(one->socket, net::asio::buffer(request), net::kResult);
-    while (one->reads && co_await net::read_more(one->socket, one->got) > 0) {
-    }
-    one->ended = one->reads;
-  }
   std::shared_ptr<Subscriber> subscribe(int size = 0, bool reads = true) {
-    auto one = std::make_shared<Subscriber>(rig.stage);
-    one->reads = reads;
-    net::asio::co_spawn(rig.stage.io(), talk(one, size), net::asio::detached);
-    return one;
+    Subscription asked;
+    asked.document = kDocument;
+    asked.variables = "{\"size\":" + std::to_string(size) + "}";
+    asked.reads = reads;
+    return Subscriber::open(rig.stage, api, asked);
   }
 
   Rig rig;
@@ -87,10 +63,10 @@
   })) << rig.console("counters");
   EXPECT_EQ(rig.counter("subscriptions_opened"), 200U);
   rig.program->signal(SIGTERM);
-  ASSERT_TRUE(rig.stage.play_until([&] { return each([](const auto& one) { return one->ended; }); }));
+  ASSERT_TRUE(rig.stage.play_until([&] { return each([](const auto& one) { return one->ended(); }); }));
   for (const auto& one : all) {
     EXPECT_EQ(one->count("event: complete"), 1U);
-    EXPECT_TRUE(one->got.ends_with("event: complete\ndata:\n\n"));
+    EXPECT_TRUE(one->got().ends_with("event: complete\ndata:\n\n"));
     EXPECT_EQ(one->count("errors"), 0U);
   }
   EXPECT_EQ(rig.program->wait(), 0);
@@ -102,7 +78,7 @@
   ASSERT_TRUE(rig.stage.play_until([&] { return rig.counter("subscriptions_cut") == 1; }));
   const auto seen = good->count("event: next");
   ASSERT_TRUE(rig.stage.play_until([&] { return good->count("event: next") > seen + 5; }));
-  EXPECT_FALSE(good->ended);
+  EXPECT_FALSE(good->ended());
   EXPECT_EQ(good->count("event: complete"), 0U);
   // Its place is free again, and its server has been told.
   EXPECT_EQ(rig.counter("subscriptions_opened"), 2U);
