Look fragments up by the document's own index in introspection, and judge @skip in one place

Need: on rereading, introspection built a map of fragments of its own for each request, from the cache, too, though the checked document keeps an index; @skip and @include were judged by two copies of one function.

Change: introspection_of and introspect take the FragmentIndex; is_taken in values serves pricing and introspection. Behaviour stays.

Measured: 39 GraphQL tests, the conformance and mutation tables and the GraphQL exchanges pass.

--- a/fuzz/schema.cpp
+++ b/fuzz/schema.cpp
@@ -12,7 +12,7 @@
         "defaultValue type{name ofType{name}}}type{kind name ofType{kind name}}}enumValues{name}"
         "inputFields{name defaultValue}possibleTypes{name}interfaces{name}}directives{name locations "
         "args{name}}}}");
-    const auto told = introspect(schema, document, document.operations.front(), {});
+    const auto told = introspect(schema, FragmentIndex(document), document.operations.front(), {});
     cranemux::fuzz::demand(cranemux::json::parse(told).find("data") != nullptr);
   } catch (const SchemaError& error) {
     cranemux::fuzz::demand(!error.faults.empty());
--- a/src/graphql/cost.cpp
+++ b/src/graphql/cost.cpp
@@ -68,13 +68,11 @@
   }
 
   bool taken(const List<Directive>& directives) {
-    return std::all_of(directives.begin(), directives.end(), [this](const Directive& directive) {
-      const bool include = directive.name == "include";
-      if (!include && directive.name != "skip") return true;
+    for (const auto& directive : directives) {
+      if (directive.name != "include" && directive.name != "skip") continue;
       note(directive.arguments.front().value);
-      const auto value = resolve(directive.arguments.front().value, variables_);
-      return value && value->boolean() && *value->boolean() == include;
-    });
+    }
+    return is_taken(directives, variables_);
   }
 
   void collect(const List<Selection>& selections, bool shared, Members& into, Names& spread) {
--- a/src/graphql/engine.cpp
+++ b/src/graphql/engine.cpp
@@ -170,7 +170,7 @@
     out.booking = price.booking;
     return;
   }
-  const auto introspection = introspection_of(out.checked->document, operation);
+  const auto introspection = introspection_of(out.checked->fragments, operation);
   const bool tells = introspection == Introspection::some || introspection == Introspection::all;
   if (tells && !config_.introspection) {
     throw Error("INTROSPECTION_DISABLED", "this service does not tell its schema: ask its operators for it");
@@ -200,7 +200,7 @@
 
 std::string Admitted::own_answer() const {
   try {
-    return introspect(*checked->schema, checked->document, *introspects, variables);
+    return introspect(*checked->schema, checked->fragments, *introspects, variables);
   } catch (const Error& error) {
     std::string out = R"({"errors":[{"message":)";
     json::write_string(out, error.what());
--- a/src/graphql/introspection.cpp
+++ b/src/graphql/introspection.cpp
@@ -10,14 +10,6 @@
 namespace cranemux::graphql {
 namespace {
 
-using Fragments = std::unordered_map<std::string_view, const Fragment*>;
-
-Fragments fragments_of(const Document& document) {
-  Fragments out;
-  for (const auto& fragment : document.fragments) out.emplace(fragment.name, &fragment);
-  return out;
-}
-
 bool of_introspection(std::string_view field) {
   return field == "__schema" || field == "__type" || field == "__typename";
 }
@@ -26,7 +18,7 @@
   bool own = false, other = false, schema = false;
 };
 
-void look(const List<Selection>& selections, const Fragments& fragments,
+void look(const List<Selection>& selections, const FragmentIndex& fragments,
           std::unordered_set<std::string_view>& seen, Roots& roots) {
   for (const auto& s : selections) {
     if (s.kind == SelectionKind::field) {
@@ -35,8 +27,8 @@
     } else if (s.kind == SelectionKind::inlined) {
       look(s.selections, fragments, seen, roots);
     } else if (seen.insert(s.name).second) {
-      const auto found = fragments.find(s.name);
-      if (found != fragments.end()) look(found->second->selections, fragments, seen, roots);
+      const auto* found = fragments.find(s.name);
+      if (found) look(found->selections, fragments, seen, roots);
     }
   }
 }
@@ -51,9 +43,9 @@
 
 class Introspector {
  public:
-  Introspector(const Schema& schema, const Document& document, const Variables& variables,
+  Introspector(const Schema& schema, const FragmentIndex& fragments, const Variables& variables,
                const IntrospectionLimits& limits)
-      : schema_(schema), fragments_(fragments_of(document)), variables_(variables), limits_(limits) {}
+      : schema_(schema), fragments_(fragments), variables_(variables), limits_(limits) {}
 
   std::string run(const Operation& operation) {
     out_ = "{\"data\":";
@@ -73,26 +65,17 @@
     throw Error(std::string(kTooLarge), "the answer is too large: ask for fewer types or fields at once");
   }
 
-  bool taken(const List<Directive>& directives) const {
-    return std::all_of(directives.begin(), directives.end(), [this](const Directive& directive) {
-      const bool include = directive.name == "include";
-      if (!include && directive.name != "skip") return true;
-      const auto value = resolve(directive.arguments.front().value, variables_);
-      return value && value->boolean() && *value->boolean() == include;
-    });
-  }
-
   // CollectFields (section 6.3.2). The types of introspection have no interfaces, so a fragment fits by its
   // name, or does not.
   void collect(const Sets& sets, std::string_view type, std::vector<Group>& groups,
                std::unordered_set<std::string_view>& seen) const {
     for (const auto* set : sets) {
       for (const auto& s : *set) {
-        if (!taken(s.directives)) continue;
+        if (!is_taken(s.directives, variables_)) continue;
         if (s.kind == SelectionKind::inlined) {
           if (fits(s.name, type)) collect({&s.selections}, type, groups, seen);
         } else if (s.kind == SelectionKind::spread) {
-          const auto& fragment = *fragments_.at(s.name);
+          const auto& fragment = *fragments_.find(s.name);
           if (seen.insert(s.name).second && fits(fragment.condition, type)) {
             collect({&fragment.selections}, type, groups, seen);
           }
@@ -291,7 +274,7 @@
   }
 
   const Schema& schema_;
-  const Fragments fragments_;
+  const FragmentIndex& fragments_;
   const Variables& variables_;
   const IntrospectionLimits limits_;
   Sets below_;  // of the field that is being written
@@ -301,18 +284,18 @@
 
 }  // namespace
 
-Introspection introspection_of(const Document& document, const Operation& operation) {
+Introspection introspection_of(const FragmentIndex& fragments, const Operation& operation) {
   if (operation.kind != OperationKind::query) return Introspection::none;
   Roots roots;
   std::unordered_set<std::string_view> seen;
-  look(operation.selections, fragments_of(document), seen, roots);
+  look(operation.selections, fragments, seen, roots);
   if (!roots.schema) return roots.own && !roots.other ? Introspection::name : Introspection::none;
   return roots.other ? Introspection::some : Introspection::all;
 }
 
-std::string introspect(const Schema& schema, const Document& document, const Operation& operation,
+std::string introspect(const Schema& schema, const FragmentIndex& fragments, const Operation& operation,
                        const Variables& variables, const IntrospectionLimits& limits) {
-  return Introspector(schema, document, variables, limits).run(operation);
+  return Introspector(schema, fragments, variables, limits).run(operation);
 }
 
 }  // namespace cranemux::graphql
--- a/src/graphql/values.cpp
+++ b/src/graphql/values.cpp
@@ -392,6 +392,15 @@
   return std::nullopt;
 }
 
+bool is_taken(const List<Directive>& directives, const Variables& variables) {
+  return std::all_of(directives.begin(), directives.end(), [&](const Directive& directive) {
+    const bool include = directive.name == "include";
+    if (!include && directive.name != "skip") return true;
+    const auto value = resolve(directive.arguments.front().value, variables);
+    return value && value->boolean() && *value->boolean() == include;
+  });
+}
+
 // Alike but for case, or for one letter put in, left out, or changed, or two that are swapped.
 bool alike(std::string_view a, std::string_view b) {
   if (a.size() > b.size()) std::swap(a, b);
--- a/src/graphql/values.h
+++ b/src/graphql/values.h
@@ -34,6 +34,9 @@
 std::optional<json::Value> argument_value(const Input& input, const List<Argument>& written,
                                           const Variables& variables);
 
+// By @skip and @include, of a valid document.
+bool is_taken(const List<Directive>& directives, const Variables& variables);
+
 // The name among these that was probably meant, as ` (did you mean X?)`, or nothing.
 template <typename Names>
 std::string did_you_mean(std::string_view word, const Names& names);
--- a/tests/graphql_introspection_test.cpp
+++ b/tests/graphql_introspection_test.cpp
@@ -126,7 +126,8 @@
   const auto whole = admitted.own_answer();
   const auto& document = admitted.checked->document;
   const auto told = [&](const IntrospectionLimits& limits) {
-    return introspect(*admitted.checked->schema, document, document.operations.front(), {}, limits);
+    return introspect(*admitted.checked->schema, admitted.checked->fragments, document.operations.front(), {},
+                      limits);
   };
   EXPECT_EQ(told({10'000, whole.size()}), whole);
   EXPECT_THROW(told({10, whole.size()}), Error);
