--- a/bench/graphql_bench.cpp
+++ b/bench/graphql_bench.cpp
@@ -51,19 +51,22 @@
 fragment Short on Job { id rider { id name } }
 fragment Person on Rider { id name job { id } })";
 
-// Each time a document that the cache has not seen: a comment makes the difference.
+// Each time a document that the cache has not seen, or no more: a comment makes the difference, and the cache
+// holds some 200 of them. All are made before the clock runs, since stopping it takes as long as a part of
+// the work.
 void whole(benchmark::State& state) {
+  constexpr std::size_t kDocuments = 2048;
   Engine engine(config("priced.graphql"));
-  json::Value variables = json::parse(R"({"ids":["a","b","c"]})");
-  std::size_t n = 0;
-  for (auto _ : state) {
-    state.PauseTiming();
-    auto asked = request(kBoard + "#" + std::to_string(++n));
-    std::get<json::Object>(asked.data).emplace_back("variables", variables);
-    state.ResumeTiming();
-    benchmark::DoNotOptimize(engine.admit(asked, false));
+  const json::Value variables = json::parse(R"({"ids":["a","b","c"]})");
+  std::vector<json::Value> asked;
+  for (std::size_t n = 0; n < kDocuments; ++n) {
+    asked.push_back(request(kBoard + "#" + std::to_string(n)));
+    std::get<json::Object>(asked.back().data).emplace_back("variables", variables);
   }
+  std::size_t n = 0;
+  for (auto _ : state) benchmark::DoNotOptimize(engine.admit(asked[n++ % kDocuments], false));
   state.counters["bytes"] = static_cast<double>(kBoard.size());
+  if (engine.counts().hits > 0) state.SkipWithError("the cache has answered");
 }
 BENCHMARK(whole)->Unit(benchmark::kMicrosecond);
 
--- a/fuzz/document.cpp
+++ b/fuzz/document.cpp
@@ -15,7 +15,7 @@
     if (!faults.empty()) return 0;
     for (const auto& operation : document.operations) {
       const auto variables = coerce_variables(schema, operation, nullptr);
-      const auto priced = price(schema, fragments, operation, variables, {}, limits);
+      const auto priced = price(schema, operation, variables, {}, limits);
       cranemux::fuzz::demand(priced->units >= 0 && same_price(*priced, variables));
     }
   } catch (const Error& error) {
--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -195,6 +195,12 @@
 };
 using Action = std::variant<Send, Cancel, Refuse, Fail, SetTimer, Probe, Tell, Watch, Log>;
 
+// A customer's store as this front door knows it: by the last word of its keeper, filled since, less own use.
+struct Allowance {
+  double level = 0, burst = 0;  // units; the level is below 0 while a settled difference is paid back
+  double rate = 0;              // units a second
+};
+
 class Brain {
  public:
   explicit Brain(const Settings& settings);  // std::invalid_argument if they make no sense
@@ -206,6 +212,8 @@
   Brain& operator=(Brain&&) noexcept;
   // Appends to `actions`. `now` never goes back.
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions);
+  // None: nothing is known of it here, or its plan has no rate.
+  std::optional<Allowance> allowance(Nanos now, const std::string& customer) const;
 
  private:
   class Impl;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,6 +14,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "ledger/figures.h"
+
 namespace cranemux {
 namespace {
 
@@ -75,18 +77,13 @@
 
 // ---- records ------------------------------------------------------------------------------------
 
-std::uint32_t hash_customer(const std::string& key) {
-  std::uint64_t h = 1469598103934665603ULL;
-  for (const char c : key) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-  return static_cast<std::uint32_t>(h ^ h >> 32U);
-}
-
 struct Account {                       // one customer, as each of its gateways sees it
   const PlanSettings* plan = nullptr;  // unknown until its first request here
   std::uint32_t hash = 0;
   int spread = 1;
   double level = 0;    // D: units left, as last told, filled and less own use
   double sure = 0;     // D by the last word of it, less own use since: what may be borrowed
+  double left = 0;     // D as told, with what is granted here: for those who ask what they may yet use
   double ceiling = 0;  // own part of the hard ceiling
   Nanos filled = 0;
   std::int64_t total = 0;          // own units sent in this life
@@ -177,6 +174,14 @@
 
   const std::shared_ptr<Books>& books() const { return books_; }
 
+  std::optional<Allowance> allowance(Nanos now, const std::string& customer) const {
+    const auto at = accounts_.find(ledger::hash_of(customer));
+    if (at == accounts_.end() || !at->second.plan || at->second.plan->rate <= 0) return std::nullopt;
+    const auto& a = at->second;
+    const double since = a.plan->rate * static_cast<double>(now - a.filled) / kSecond;
+    return Allowance{std::min(a.plan->burst, a.left + since), a.plan->burst, a.plan->rate};
+  }
+
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
     now_ = now;
     actions_ = &actions;
@@ -222,9 +227,9 @@
       if (plan.name == request.plan) a.plan = &plan;
     }
     if (!a.plan) return;  // a plan that the settings do not name has no quota: refused
-    a.hash = hash_customer(request.customer);
+    a.hash = ledger::hash_of(request.customer);
     a.spread = std::clamp(request.spread, 1, s_.gateways);
-    a.level = a.sure = a.plan->burst;  // until a keeper tells more
+    a.level = a.sure = a.left = a.plan->burst;  // until a keeper tells more
     a.filled = started_at_;
     // At first D splits evenly, and its share may be spent while the question is out; but not before the
     // store has filled again from what an earlier life of this gateway may have spent.
@@ -244,6 +249,7 @@
     const double most = std::max(a.plan->burst * part, std::min(s_.most_units, a.plan->burst));
     a.level = std::min(most, a.level + a.plan->rate * part * seconds);
     a.sure = std::min(a.sure, a.level);
+    a.left = std::min(a.plan->burst, a.left + a.plan->rate * seconds);
     a.ceiling = std::min(ceiling_cap(a), a.ceiling + a.plan->ceiling_rate / a.spread * seconds);
   }
 
@@ -268,6 +274,7 @@
   void spend(Account& a, double units) {
     a.ceiling -= units;
     a.total += std::llround(units);
+    a.left -= units;
     a.level = std::max(debt_of(*a.plan), a.level - units);
     a.sure = std::max(debt_of(*a.plan), a.sure - units);
     if (a.total > a.limit) note(a);  // it was not granted: the keeper must hear of it
@@ -293,7 +300,7 @@
     job.goal = std::min(now_ + job.klass->aim - age_of(request, *job.klass), job.deadline - kAnswerMargin);
     const auto hold = static_cast<Nanos>(kHoldOfAim * static_cast<double>(job.klass->aim));
     job.hold_until = std::min(now_ + std::min(kHoldBound, hold), job.goal);
-    job.account = hash_customer(request.customer);
+    job.account = ledger::hash_of(request.customer);
     auto& a = accounts_[job.account];
     if (!a.plan) open_account(a, request);
     auto [at, fresh] = jobs_.try_emplace(request.id, std::move(job));
@@ -406,20 +413,6 @@
 
   // A message: version, life of the sender (2), then entries: kind and plan (1), hash (4) and varints
   // An ask: used, level, weight, wanted.  A grant: life, limit, level.
-  static void put(std::string& out, std::uint64_t value) {
-    for (; value >= 128; value >>= 7U) out += static_cast<char>(value | 128U);
-    out += static_cast<char>(value);
-  }
-  static bool get(const std::string& in, std::size_t& at, std::uint64_t& value) {
-    value = 0;
-    for (unsigned shift = 0; at < in.size() && shift < 63; shift += 7) {
-      const auto byte = static_cast<unsigned char>(in[at++]);
-      value |= static_cast<std::uint64_t>(byte & 127U) << shift;
-      if (byte < 128) return true;
-    }
-    return false;
-  }
-
   static std::uint64_t level_of(const PlanSettings& plan, double level) {
     const double part = plan.burst > 0 ? std::clamp(level / plan.burst, 0.0, 1.0) : 1;
     return static_cast<std::uint64_t>(part * kLevelSteps);
@@ -433,7 +426,7 @@
     if (!s_.peers) return;
     std::string entry(1, static_cast<char>(kind | static_cast<unsigned>(&plan - plans_.data()) << 2U));
     for (unsigned shift = 0; shift < 32; shift += 8) entry += static_cast<char>(hash >> shift & 255U);
-    for (const auto value : values) put(entry, value);
+    for (const auto value : values) ledger::put(entry, value);
     auto& mail = peers_[static_cast<std::size_t>(to)].mail;
     if (mail.empty()) {
       posts_.push_back(to);
@@ -473,7 +466,7 @@
       at += 5;
       std::uint64_t v[4] = {};
       for (int i = 0; i < (kind == kAsk ? 4 : 3); ++i) {
-        if (!get(in, at, v[i])) return;
+        if (!ledger::get(in, at, v[i])) return;
       }
       if (plan >= plans_.size() || *std::max_element(v, v + 3) > kSaneFigure) return;
       if (kind == kAsk)
@@ -625,6 +618,7 @@
     if (a.plan->rate > 0 && a.total > limit) note(a);  // spent while it was given back
     a.answered = std::max(now_, a.asked);
     a.level = a.sure = level_of(*a.plan, level);
+    a.left = std::min(a.plan->burst, a.level + static_cast<double>(limit - a.total));
     freed_ = true;
   }
 
@@ -848,6 +842,7 @@
     fill(a);
     a.total = std::max<std::int64_t>(0, a.total + std::llround(difference));
     a.limit += std::llround(difference);
+    a.left -= difference;
     a.level = std::max(debt_of(*a.plan), a.level - difference);
     note(a);
   }
@@ -1029,6 +1024,9 @@
 Brain::~Brain() = default;
 Brain::Brain(Brain&&) noexcept = default;
 Brain& Brain::operator=(Brain&&) noexcept = default;
+std::optional<Allowance> Brain::allowance(Nanos now, const std::string& customer) const {
+  return impl_->allowance(now, customer);
+}
 void Brain::step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
   impl_->step(now, events, actions);
 }
--- a/src/cli/graphql.cpp
+++ b/src/cli/graphql.cpp
@@ -134,7 +134,8 @@
     CostOptions options;
     options.usual_size = command.usual_size;
     const auto variables = coerce_variables(*schema, operation, &told);
-    const auto priced = price(*schema, FragmentIndex(document), operation, variables, options, limits);
+    const FragmentIndex index(document);
+    const auto priced = price(*schema, operation, variables, options, limits);
     std::vector<Line> lines;
     lines_of(*priced->shape, "", 1, lines);
     command.as_json ? print_json(lines, *priced) : print_table(lines, *priced);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -58,6 +58,11 @@
   return nullptr;
 }
 
+std::optional<cranemux::Allowance> Core::allowance(const std::string& customer) const {
+  const auto now = std::chrono::duration_cast<nanoseconds>(Clock::now().time_since_epoch());
+  return brain_.allowance(now.count(), customer);
+}
+
 RpcId Core::take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel) {
   const auto id = ++last_id_;
   ++counters_.rpcs_taken;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -98,6 +99,8 @@
   nanoseconds patience_of(const std::string& klass) const;  // how long its clients wait, at most
   const cranemux::PlanSettings* plan(const std::string& name) const;
   const cranemux::Settings& settings() const { return settings_; }
+  // A customer's store, as the module knows it here; none where it does not, or its plan has no rate.
+  std::optional<cranemux::Allowance> allowance(const std::string& customer) const;
 
   RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
   void abandoned(RpcId rpc);  // its client has gone
--- a/src/front/fields.cpp
+++ b/src/front/fields.cpp
@@ -1,6 +1,7 @@
 #include "front/fields.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace cranemux::front {
@@ -112,4 +113,20 @@
   return "Retry-After: " + std::to_string(ms / 1000) + (ms % 1000 ? "." + fraction : "") + "\r\n";
 }
 
+std::string rate_limit_fields(std::string_view plan, const cranemux::Allowance& store) {
+  std::string name = "\"";  // a string of structured fields (RFC 8941, 3.3.3)
+  for (const char c : plan) {
+    if (c == '"' || c == '\\') name += '\\';
+    name += c >= ' ' && c < '\x7f' ? c : '?';
+  }
+  name += '"';
+  const auto whole = [](double value) {
+    return std::to_string(static_cast<std::int64_t>(std::clamp(value, 0.0, 1e15)));
+  };
+  return "RateLimit-Policy: " + name + ";q=" + whole(store.burst) +
+         ";w=" + whole(std::ceil(store.burst / store.rate)) + "\r\nRateLimit: " + name +
+         ";r=" + whole(store.level + 0.05) +
+         ";t=" + whole(std::ceil((store.burst - store.level) / store.rate)) + "\r\n";
+}
+
 }  // namespace cranemux::front
--- a/src/front/fields.h
+++ b/src/front/fields.h
@@ -41,4 +41,9 @@
 // Whole seconds, or with three digits behind the point; nothing for no advice.
 std::string retry_after_field(std::chrono::nanoseconds after);
 
+// What a caller has left of its quota, as RateLimit-Policy and RateLimit (IETF
+// draft-ietf-httpapi-ratelimit-headers, version 10): q is the burst and r what is left of it, in units; w is
+// how long an empty store takes to fill, t how long until this one is full, in whole seconds.
+std::string rate_limit_fields(std::string_view plan, const cranemux::Allowance& store);
+
 }  // namespace cranemux::front
--- a/src/front/graphql/exchange.cpp
+++ b/src/front/graphql/exchange.cpp
@@ -1,6 +1,8 @@
 #include "front/graphql/exchange.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 
 namespace cranemux::front {
 namespace {
@@ -15,15 +17,15 @@
 }
 
 json::Value number(double value) {
+  char text[32];
+  const auto end = std::to_chars(text, text + sizeof text, value).ptr;  // the shortest that says it
   json::Value out;
-  const auto whole = static_cast<std::int64_t>(value);
-  out.data =
-      json::Number{static_cast<double>(whole) == value ? std::to_string(whole) : std::to_string(value)};
+  out.data = json::Number{std::string(text, end)};
   return out;
 }
 
 // `extensions.cost`, beside what the server tells.
-void add_cost(json::Value& answer, double requested, double actual) {
+void add_cost(json::Value& answer, json::Value cost) {
   auto& members = std::get<json::Object>(answer.data);
   auto at =
       std::find_if(members.begin(), members.end(), [](const auto& m) { return m.first == "extensions"; });
@@ -34,8 +36,6 @@
     members.emplace_back("extensions", std::move(extensions));
     at = std::prev(members.end());
   }
-  json::Value cost;
-  cost.data = json::Object{{"requested", number(requested)}, {"actual", number(actual)}};
   auto& extensions = std::get<json::Object>(at->second.data);
   std::erase_if(extensions, [](const auto& m) { return m.first == "cost"; });
   extensions.emplace_back("cost", std::move(cost));
@@ -56,7 +56,22 @@
 
 }  // namespace
 
-std::string error_body(const std::string& code, const std::string& what, std::chrono::nanoseconds retry) {
+json::Value cost_value(double requested, std::optional<double> actual,
+                       const std::optional<cranemux::Allowance>& store) {
+  json::Object members{{"requested", number(requested)}};
+  if (actual) members.emplace_back("actual", number(*actual));
+  if (store) {
+    members.emplace_back("level", number(std::round(store->level * 10) / 10));  // told in 100ths of the burst
+    members.emplace_back("rate", number(store->rate));
+    members.emplace_back("burst", number(store->burst));
+  }
+  json::Value out;
+  out.data = std::move(members);
+  return out;
+}
+
+std::string error_body(const std::string& code, const std::string& what, std::chrono::nanoseconds retry,
+                       const std::string& cost) {
   std::string out = "{\"errors\":[{\"message\":";
   json::write_string(out, what);
   out += ",\"extensions\":{\"code\":";
@@ -64,6 +79,7 @@
   if (retry.count() > 0) {
     out += ",\"retryAfterMs\":" + std::to_string(std::chrono::ceil<std::chrono::milliseconds>(retry).count());
   }
+  if (!cost.empty()) out += ",\"cost\":" + cost;
   return out + "}}]}";
 }
 
@@ -82,14 +98,13 @@
 }
 
 GraphqlExchange::GraphqlExchange(std::string path, std::string body, std::vector<graphql::Admitted> admitted,
-                                 bool batch, bool cost_in_answers)
+                                 bool batch, Store store)
     : path_(std::move(path)),
       body_(std::move(body)),
       admitted_(std::move(admitted)),
       batch_(batch),
-      cost_in_answers_(cost_in_answers),
-      booking_(std::any_of(admitted_.begin(), admitted_.end(), [](const auto& one) { return one.booking; })) {
-}
+      booking_(std::any_of(admitted_.begin(), admitted_.end(), [](const auto& one) { return one.booking; })),
+      store_(std::move(store)) {}
 
 std::string GraphqlExchange::message(std::chrono::milliseconds patience) const {
   std::string out =
@@ -127,7 +142,7 @@
       result.true_units += costs[i];
     }
     result.result = Result::ok;
-    result.body = cost_in_answers_ ? body_with_cost(std::move(value), costs) : std::string(answer.body);
+    result.body = store_ ? body_with_cost(std::move(value), costs) : std::string(answer.body);
   } catch (const json::Error&) {
   }
   return result;
@@ -167,9 +182,13 @@
 }
 
 std::string GraphqlExchange::body_with_cost(json::Value&& answer, const std::vector<double>& costs) const {
+  // The difference is settled after this: what the store holds then is told.
+  auto store = store_();
+  for (std::size_t i = 0; store && i < costs.size(); ++i) store->level += admitted_[i].units - costs[i];
+  if (store) store->level = std::min(store->level, store->burst);
   for (std::size_t i = 0; i < costs.size(); ++i) {
     auto& one = batch_ ? std::get<json::Array>(answer.data)[i] : answer;
-    add_cost(one, admitted_[i].units, costs[i]);
+    add_cost(one, cost_value(admitted_[i].units, costs[i], store));
   }
   std::string out;
   json::write(out, answer);
--- a/src/front/graphql/exchange.h
+++ b/src/front/graphql/exchange.h
@@ -10,13 +10,23 @@
 constexpr std::string_view kEventType = "text/event-stream";
 constexpr std::string_view kNewType = "application/graphql-response+json", kOldType = "application/json";
 
-std::string error_body(const std::string& code, const std::string& what, std::chrono::nanoseconds retry = {});
+// `cost`: an object of JSON, where it is told.
+std::string error_body(const std::string& code, const std::string& what, std::chrono::nanoseconds retry = {},
+                       const std::string& cost = {});
+
+// What answers tell of costs: the units asked for, what it came to (none: nothing ran), and the customer's
+// store after it, where it is known.
+json::Value cost_value(double requested, std::optional<double> actual,
+                       const std::optional<cranemux::Allowance>& store);
+
+// A look at the customer's store. None: costs are not told.
+using Store = std::function<std::optional<cranemux::Allowance>()>;
 
 class GraphqlExchange : public attempt::Exchange {
  public:
-  // `cost_in_answers`: `extensions.cost` is told to the client.
+  // `store`: where it is set, `extensions.cost` is told to the client.
   GraphqlExchange(std::string path, std::string body, std::vector<graphql::Admitted> admitted, bool batch,
-                  bool cost_in_answers);
+                  Store store);
   std::string message(std::chrono::milliseconds patience) const override;
   // A well-formed answer is one, even if it tells of errors: the server has seen the operation. One that does
   // not fit what was asked is spoilt: a failed attempt that may have run.
@@ -31,7 +41,8 @@
 
   const std::string path_, body_;
   const std::vector<graphql::Admitted> admitted_;
-  const bool batch_, cost_in_answers_, booking_;
+  const bool batch_, booking_;
+  const Store store_;
 };
 
 // What goes on to a server: only what was priced. Another member might make it run something else.
--- a/src/front/graphql/graphql.cpp
+++ b/src/front/graphql/graphql.cpp
@@ -13,11 +13,15 @@
 constexpr std::chrono::seconds kSubscriptionComeBack{5};
 constexpr double kMostTimes = 50;  // the module's weights tell requests apart up to so many times most_units
 
-Reply unavailable_as(std::string_view type, std::chrono::nanoseconds come_back) {
-  return {429, error_body("UNAVAILABLE", "not run: come back later", come_back), retry_after_field(come_back),
-          type};
+Reply unavailable_as(std::string_view type, std::chrono::nanoseconds come_back,
+                     const std::string& cost = {}) {
+  return {429, error_body("UNAVAILABLE", "not run: come back later", come_back, cost),
+          retry_after_field(come_back), type};
 }
 
+// An error is no stream.
+std::string_view error_type(std::string_view type) { return type == kEventType ? kNewType : type; }
+
 std::string one_line(std::string text) {
   std::replace(text.begin(), text.end(), '\n', ' ');
   std::replace(text.begin(), text.end(), '\r', ' ');
@@ -110,6 +114,9 @@
 
 struct GraphqlFront::Context {
   std::string_view type;
+  std::string plan, customer;
+  double units = 0;
+  bool tells_cost = false;
   std::shared_ptr<Subscriber> subscriber;  // of a subscription
 };
 
@@ -144,11 +151,33 @@
 
 GraphqlFront::GraphqlFront(core::Core& core, GraphqlSetup setup, metrics::Counters& counters)
     : core_(core), setup_(std::move(setup)), counters_(counters) {
-  for (const auto& name : {setup_.file.reading, setup_.file.booking}) {
-    if (!core_.knows_class(name)) throw config::Error("classes: the settings name no class " + name);
+  check(core_, setup_);
+}
+
+void GraphqlFront::check(const core::Core& core, const GraphqlSetup& setup) {
+  for (const auto& name : {setup.file.reading, setup.file.booking}) {
+    if (!core.knows_class(name)) throw config::Error("classes: the settings name no class " + name);
   }
-  if (!core_.unsafe_class(setup_.file.booking))
-    throw config::Error("classes.booking: must never be repeated");
+  if (!core.unsafe_class(setup.file.booking)) throw config::Error("classes.booking: must never be repeated");
+}
+
+void GraphqlFront::adopt(GraphqlSetup setup) {
+  count_documents();
+  setup_ = std::move(setup);
+  counted_ = setup_.engine->counts();
+}
+
+// What the engine's store has counted since the last look; an engine goes at a reload, the counters stay.
+void GraphqlFront::count_documents() {
+  const auto now = setup_.engine->counts();
+  counters_.documents_cached += now.hits - counted_.hits;
+  counters_.documents_read += now.misses - counted_.misses;
+  counters_.documents_evicted += now.evicted - counted_.evicted;
+  counters_.documents_registered += now.registered - counted_.registered;
+  counters_.documents_not_found += now.not_found - counted_.not_found;
+  counters_.documents_wrong_hash += now.wrong_hash - counted_.wrong_hash;
+  counters_.documents_untrusted += now.untrusted - counted_.untrusted;
+  counted_ = now;
 }
 
 // What the operations of a request cost and do, together.
@@ -225,24 +254,21 @@
   const auto type = media_type(message);
   const auto reject = [&](int status, const std::string& code, const std::string& what) {
     ++counters_.graphql_rejected;
-    return Handled{Reply{status,
-                         error_body(code, what),
-                         {},
-                         type.value_or(kOldType) == kEventType ? kNewType : type.value_or(kOldType)}};
+    return Handled{Reply{status, error_body(code, what), {}, error_type(type.value_or(kOldType))}};
   };
   const auto target = incoming.target.empty() ? message.target : incoming.target;
   if (target.substr(0, target.find('?')) != setup_.file.path) {
     return reject(404, "NOT_FOUND", "GraphQL is at " + setup_.file.path);
   }
   if (!type) return reject(406, "NOT_ACCEPTABLE", "answers are " + std::string(kNewType));
+  const auto counts = std::shared_ptr<void>(nullptr, [this](void*) { count_documents(); });
   try {
     return take(incoming);
   } catch (const json::Error& error) {
     return reject(400, "BAD_REQUEST", error.what());
   } catch (const graphql::Rejected& rejected) {
     ++counters_.graphql_rejected;
-    return {Reply{
-        status_of(rejected.code, *type), body_of(rejected), {}, *type == kEventType ? kNewType : *type}};
+    return {Reply{status_of(rejected.code, *type), body_of(rejected), {}, error_type(*type)}};
   } catch (const graphql::Error& error) {
     return reject(status_of(error.code, *type), error.code, error.what());
   }
@@ -282,7 +308,8 @@
   check_stated(message, request, operations);
   terms.units = operations.units;
   check_burst(terms);
-  auto context = std::make_shared<Context>(Context{*media_type(message), {}});
+  auto context = std::make_shared<Context>(Context{
+      *media_type(message), terms.plan, terms.customer, terms.units, setup_.file.cost_in_answers, {}});
   const bool subscribes = operations.admitted.front().kind == graphql::OperationKind::subscription;
   if (subscribes) {
     context->subscriber = subscriber_of(message, operations.admitted.front(), terms);
@@ -297,9 +324,12 @@
   terms.budget = std::max(std::chrono::nanoseconds{}, terms.budget - incoming.waited);
   ++counters_.graphql_taken;
   auto body = forwarded(request, operations.admitted);
-  auto payload =
-      std::make_shared<GraphqlExchange>(setup_.file.path, std::move(body), std::move(operations.admitted),
-                                        request.array() != nullptr, setup_.file.cost_in_answers);
+  Store store;
+  if (setup_.file.cost_in_answers) {
+    store = [&core = core_, customer = terms.customer] { return core.allowance(customer); };
+  }
+  auto payload = std::make_shared<GraphqlExchange>(
+      setup_.file.path, std::move(body), std::move(operations.admitted), request.array() != nullptr, store);
   payload->lasts = incoming.lasts;
   return {std::nullopt, core_.take(std::move(terms), std::move(payload), incoming.channel),
           std::move(context)};
@@ -319,8 +349,17 @@
   return unavailable_as(media_type(message).value_or(kOldType), come_back);
 }
 
+// What the caller has left of its quota goes with every final answer.
 Reply GraphqlFront::answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) {
-  auto& asked = *static_cast<Context*>(context.get());
+  const auto& asked = *static_cast<const Context*>(context.get());
+  const auto store = core_.allowance(asked.customer);
+  auto reply = answer_as(std::move(answer), asked, store);
+  if (store) reply.fields += rate_limit_fields(asked.plan, *store);
+  return reply;
+}
+
+Reply GraphqlFront::answer_as(core::FinalAnswer&& answer, const Context& asked,
+                              const std::optional<cranemux::Allowance>& store) {
   if (answer.stream && asked.subscriber) {
     auto up = std::static_pointer_cast<attempt::Upstream>(std::move(answer.stream));
     auto made = std::make_shared<Subscription>(std::move(*asked.subscriber), std::move(up), core_, counters_);
@@ -335,7 +374,7 @@
         {},
         kEventType};
   }
-  const auto type = asked.type == kEventType ? kNewType : asked.type;
+  const auto type = error_type(asked.type);
   if (answer.ending == core::Ending::served) {
     // The newer media type tells a request error by its status.
     const bool data = type == kOldType || answer.body.find("\"data\"") != std::string::npos;
@@ -344,7 +383,9 @@
   if (answer.ending == core::Ending::failed) {
     return {502, error_body("FAILED", "the operation failed; it may have run"), {}, type};
   }
-  return unavailable_as(type, answer.retry_after);
+  std::string cost;
+  if (asked.tells_cost) json::write(cost, cost_value(asked.units, std::nullopt, store));
+  return unavailable_as(type, answer.retry_after, cost);
 }
 
 Reply GraphqlFront::malformed(int status) {
--- a/src/front/graphql/graphql.h
+++ b/src/front/graphql/graphql.h
@@ -21,8 +21,10 @@
  public:
   GraphqlFront(core::Core& core, GraphqlSetup setup, metrics::Counters& counters);
   ~GraphqlFront() override;  // subscriptions end in order
-  // From now on: what has been admitted ends under what it was admitted under.
-  void adopt(GraphqlSetup setup) { setup_ = std::move(setup); }
+  // Throws config::Error where the core's settings do not go with the file.
+  static void check(const core::Core& core, const GraphqlSetup& setup);
+  // From now on: what has been admitted ends under what it was admitted under. `setup` has been checked.
+  void adopt(GraphqlSetup setup);
   const GraphqlSetup& setup() const { return setup_; }
 
   Handled request(const Incoming& incoming) override;
@@ -36,6 +38,9 @@
   struct Context;
   struct Operations;  // of one request
   Handled take(const Incoming& incoming);
+  Reply answer_as(core::FinalAnswer&& answer, const Context& asked,
+                  const std::optional<cranemux::Allowance>& store);
+  void count_documents();
   Operations admit(const json::Value& request, bool safe_method) const;
   void check_stated(const http::Message& message, const json::Value& request, const Operations& operations);
   double most_units(const core::RpcTerms& terms) const;
@@ -46,6 +51,7 @@
   core::Core& core_;
   GraphqlSetup setup_;
   metrics::Counters& counters_;
+  graphql::DocumentCounts counted_;  // of the engine's store, as the counters have them
   graphql::Subscribers subscribers_;
   std::vector<std::weak_ptr<Subscription>> open_;
 };
--- a/src/front/routed.h
+++ b/src/front/routed.h
@@ -3,9 +3,11 @@
 // pool's front's.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "front/channel_server.h"
 #include "pool/pool.h"
@@ -24,6 +26,8 @@
   std::shared_ptr<const routing::RouteTable> table;
   std::map<std::string, std::shared_ptr<PoolFront>, std::less<>> pools;
   bool by_class = false;  // a route names classes
+  // What fronts that stay take up when this routing is set: their subscriptions go on.
+  std::vector<std::function<void()>> adoptions;
 };
 
 class RoutedFront : public Front {
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -277,14 +277,21 @@
   return members;
 }
 
+// A front of a pool that stays knows which request ids and subscriptions are open: it stays, too.
 std::shared_ptr<front::PoolFront> Gatekeeper::make_pool_front(
-    std::size_t listener, const config::ListenerConfig& config, const Member& member,
-    const std::optional<front::GraphqlSetup>& graphql) {
-  // A front of a pool that stays knows which request ids are open: it stays, too.
-  if (config.front == config::FrontKind::platform && listeners_[listener].routed->has_routing()) {
+    std::size_t listener, const Member& member, const std::optional<front::GraphqlSetup>& graphql,
+    front::Routing& routing) {
+  if (listeners_[listener].routed->has_routing()) {
     const auto& old = listeners_[listener].routed->routing().pools;
     const auto at = old.find(member.pool->name());
-    if (at != old.end() && at->second->pool == member.pool) return at->second;
+    if (at != old.end() && at->second->pool == member.pool) {
+      if (graphql) {
+        front::GraphqlFront::check(member.pool->core(), *graphql);
+        auto& stays = static_cast<front::GraphqlFront&>(*at->second->front);
+        routing.adoptions.emplace_back([&stays, setup = *graphql] { stays.adopt(setup); });
+      }
+      return at->second;
+    }
   }
   auto made = std::make_shared<front::PoolFront>();
   made->pool = member.pool;
@@ -304,8 +311,7 @@
       for (const auto& share : route.shares) names.push_back(share.pool);
       for (const auto& name : names) {
         auto& slot = routing->pools[name];
-        if (!slot)
-          slot = make_pool_front(i, plan.services.listeners[i], members.at(name), plan.listeners[i].graphql);
+        if (!slot) slot = make_pool_front(i, members.at(name), plan.listeners[i].graphql, *routing);
       }
     }
     routings.push_back(std::move(routing));
@@ -345,6 +351,7 @@
   for (std::size_t i = 0; i < listeners_.size(); ++i) {
     listeners_[i].config = services.listeners[i];
     listeners_[i].routed->set(routings[i]);
+    for (const auto& adopt : std::exchange(routings[i]->adoptions, {})) adopt();
   }
   for (auto& [name, member] : pools_) {
     const auto now = members.find(name);
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -59,17 +59,16 @@
     std::shared_ptr<metrics::Counters> counters;  // its own, where there are several pools
   };
   using Members = std::map<std::string, Member>;
-  using Routings = std::vector<std::shared_ptr<const front::Routing>>;
+  using Routings = std::vector<std::shared_ptr<front::Routing>>;
 
   void open_console(const Options& options);
   void open_exports(const Options& options);
   Member make_pool(const config::PoolConfig& config, const Members& others);
   Members make_pools(const config::Services& services);
   Routings make_routings(const front::ServicesPlan& plan, const Members& members);
-  std::shared_ptr<front::PoolFront> make_pool_front(std::size_t listener,
-                                                    const config::ListenerConfig& config,
-                                                    const Member& member,
-                                                    const std::optional<front::GraphqlSetup>& graphql);
+  std::shared_ptr<front::PoolFront> make_pool_front(std::size_t listener, const Member& member,
+                                                    const std::optional<front::GraphqlSetup>& graphql,
+                                                    front::Routing& routing);
   void apply(const front::ServicesPlan& plan);
   void forget(const Member& member);
   bool reclaim(const pool::Pool& asker);
--- a/src/graphql/ast.h
+++ b/src/graphql/ast.h
@@ -3,12 +3,13 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <memory>
 #include <memory_resource>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cranemux::graphql {
@@ -75,6 +76,11 @@
 
 struct Field;
 struct Type;
+struct Fragment;
+struct SpreadFragment {  // a fragment, and how often it is spread
+  const Fragment* fragment = nullptr;
+  std::size_t spreads = 0;
+};
 enum class SelectionKind : std::uint8_t { field, spread, inlined };
 struct Selection {
   SelectionKind kind = SelectionKind::field;
@@ -87,6 +93,8 @@
   // inline fragment's type. None of a document that has not been checked.
   mutable const Field* field = nullptr;
   mutable const Type* type = nullptr;
+  // Of a spread, where its fragment exists: found once, by the document's index, which must be there still.
+  mutable const SpreadFragment* spread = nullptr;
   std::string_view key() const { return alias.empty() ? name : alias; }
 };
 
@@ -170,8 +178,10 @@
 
 // What the views and lists of a document point into.
 struct Memory {
+  // A usual document takes some ten times its text: one allocation, or a few.
+  explicit Memory(std::string document) : text(std::move(document)), arena(text.size() * 10 + 256) {}
   std::string text;
-  std::deque<std::string> resolved;  // strings whose escapes are not the text's own bytes
+  std::list<std::string> resolved;  // strings whose escapes are not the text's own bytes
   std::pmr::monotonic_buffer_resource arena;
 };
 
--- a/src/graphql/cost.cpp
+++ b/src/graphql/cost.cpp
@@ -28,21 +28,16 @@
 
 class Pricer {
  public:
-  Pricer(const Schema& schema, const FragmentIndex& fragments, const Variables& variables,
-         const CostOptions& options, const Limits& limits, Priced& out)
-      : schema_(schema),
-        fragments_(fragments),
-        variables_(variables),
-        options_(options),
-        budget_(limits.fields),
-        out_(out) {}
+  Pricer(const Schema& schema, const Variables& variables, const CostOptions& options, const Limits& limits,
+         Priced& out)
+      : schema_(schema), variables_(variables), options_(options), budget_(limits.fields), out_(out) {}
 
   void run(const Operation& operation) {
     out_.root = schema_.root(operation.kind);
     // A mutation is a booking, whatever its fields are called: it may have an effect.
     out_.booking = operation.kind == OperationKind::mutation;
     Members members(&arena_);
-    Names spread(&arena_);
+    Spread spread(&arena_);
     collect(operation.selections, false, members, spread);
     out_.shape = shape(std::move(members), *out_.root, {});
     out_.units = std::max(0.0, out_.shape->cost);
@@ -75,10 +70,10 @@
     return is_taken(directives, variables_);
   }
 
-  void collect(const List<Selection>& selections, bool shared, Members& into, Names& spread) {
+  void collect(const List<Selection>& selections, bool shared, Members& into, Spread& spread) {
     collect_fields(
-        fragments_, budget_, selections, shared, [this](const Selection& s) { return taken(s.directives); },
-        into, spread);
+        budget_, selections, shared, [this](const Selection& s) { return taken(s.directives); }, into,
+        spread);
   }
 
   // The same fields below the same type are worked out once, however often they are asked for.
@@ -168,7 +163,7 @@
     out.size = size_of(field, node, sized, below);
     if (!field.type.named->composite()) return out;
     Members merged(&arena_);
-    Names spread(&arena_);
+    Spread spread(&arena_);
     for (std::size_t i = 0; i < count; ++i) {
       collect(members[i].node->selections, members[i].shared, merged, spread);
     }
@@ -275,7 +270,6 @@
   }
 
   const Schema& schema_;
-  const FragmentIndex& fragments_;
   const Variables& variables_;
   const CostOptions& options_;
   Budget budget_;
@@ -395,11 +389,11 @@
   return entry.own + entry.size * (entry.item_weight + (entry.below ? entry.below->cost : 0));
 }
 
-std::shared_ptr<const Priced> price(const Schema& schema, const FragmentIndex& fragments,
-                                    const Operation& operation, const Variables& variables,
-                                    const CostOptions& options, const Limits& limits) {
+std::shared_ptr<const Priced> price(const Schema& schema, const Operation& operation,
+                                    const Variables& variables, const CostOptions& options,
+                                    const Limits& limits) {
   auto out = std::make_shared<Priced>();
-  Pricer(schema, fragments, variables, options, limits, *out).run(operation);
+  Pricer(schema, variables, options, limits, *out).run(operation);
   return out;
 }
 
--- a/src/graphql/cost.h
+++ b/src/graphql/cost.h
@@ -60,12 +60,12 @@
   std::vector<std::string> booking;  // fields by `Type.field`, besides those with @booking
 };
 
-// The operation is of a valid document. Throws Error: BAD_USER_INPUT for a size that is none,
-// GRAPHQL_VALIDATION_FAILED where one slicing argument is wanted and another number is given, QUERY_TOO_LARGE
-// past the budget.
-std::shared_ptr<const Priced> price(const Schema& schema, const FragmentIndex& fragments,
-                                    const Operation& operation, const Variables& variables,
-                                    const CostOptions& options, const Limits& limits);
+// The operation is of a valid document, whose index is there. Throws Error: BAD_USER_INPUT for a size that is
+// none, GRAPHQL_VALIDATION_FAILED where one slicing argument is wanted and another number is given,
+// QUERY_TOO_LARGE past the budget.
+std::shared_ptr<const Priced> price(const Schema& schema, const Operation& operation,
+                                    const Variables& variables, const CostOptions& options,
+                                    const Limits& limits);
 // Is that the price with these variables, too?
 bool same_price(const Priced& priced, const Variables& variables);
 
--- a/src/graphql/engine.cpp
+++ b/src/graphql/engine.cpp
@@ -192,7 +192,7 @@
   for (const auto& price : checked.prices) {
     if (price.operation == &operation && same_price(*price.priced, values)) return price.priced;
   }
-  auto made = graphql::price(*schema_, checked.fragments, operation, values, config_.options, config_.limits);
+  auto made = graphql::price(*schema_, operation, values, config_.options, config_.limits);
   if (checked.prices.size() == kKept) checked.prices.erase(checked.prices.begin());
   checked.prices.push_back({&operation, made});
   return made;
--- a/src/graphql/field_sets.cpp
+++ b/src/graphql/field_sets.cpp
@@ -9,7 +9,8 @@
 FragmentIndex::FragmentIndex(const Document& document) {
   if (document.fragments.empty()) return;
   by_name_.reserve(document.fragments.size());
-  for (const auto& fragment : document.fragments) by_name_.emplace(fragment.name, Known{&fragment});
+  for (const auto& fragment : document.fragments)
+    by_name_.emplace(fragment.name, SpreadFragment{&fragment, 0});
   for (const auto& operation : document.operations) count(operation.selections);
   for (const auto& fragment : document.fragments) count(fragment.selections);
 }
@@ -18,7 +19,8 @@
   for (const auto& s : selections) {
     if (s.kind == SelectionKind::spread) {
       const auto at = by_name_.find(s.name);
-      if (at != by_name_.end()) ++at->second.spreads;
+      s.spread = at == by_name_.end() ? nullptr : &at->second;
+      if (s.spread) ++at->second.spreads;
     }
     count(s.selections);
   }
@@ -27,7 +29,7 @@
 void sort_by_key(Members& members) {
   const auto less = [](const Member& a, const Member& b) {
     const auto mine = a.node->key(), theirs = b.node->key();
-    return mine != theirs ? key_less(mine, theirs) : a.node < b.node;
+    return same_key(mine, theirs) ? a.node < b.node : key_less(mine, theirs);
   };
   std::sort(members.begin(), members.end(), less);
   members.erase(std::unique(members.begin(), members.end()), members.end());
--- a/src/graphql/field_sets.h
+++ b/src/graphql/field_sets.h
@@ -32,19 +32,10 @@
     const auto at = by_name_.find(name);
     return at == by_name_.end() ? nullptr : at->second.fragment;
   }
-  // Spread more than once: what it selects may be met in several sets.
-  bool shared(std::string_view name) const {
-    const auto at = by_name_.find(name);
-    return at != by_name_.end() && at->second.spreads > 1;
-  }
 
  private:
-  struct Known {
-    const Fragment* fragment;
-    std::size_t spreads = 0;
-  };
   void count(const List<Selection>& selections);
-  std::unordered_map<std::string_view, Known> by_name_;
+  std::unordered_map<std::string_view, SpreadFragment> by_name_;
 };
 
 struct Member {  // a field as it stands in a merged set
@@ -55,41 +46,48 @@
   bool operator==(const Member& other) const { return node == other.node; }
 };
 using Members = std::pmr::vector<Member>;
-using Names = std::pmr::vector<std::string_view>;
+using Spread = std::pmr::vector<const Fragment*>;
 
 // CollectFields (section 6.3.2) without regard to types: each field with the type that it was selected on, as
 // the validator found them; those that do not exist are passed over. `taken` says whether a selection with
 // directives counts.
 template <typename Taken>
-void collect_fields(const FragmentIndex& fragments, Budget& budget, const List<Selection>& selections,
-                    bool shared, const Taken& taken, Members& into, Names& spread) {
+void collect_fields(Budget& budget, const List<Selection>& selections, bool shared, const Taken& taken,
+                    Members& into, Spread& spread) {
+  if (into.empty()) into.reserve(selections.size());
   for (const auto& s : selections) {
     budget.spend();
     if (!s.directives.empty() && !taken(s)) continue;
     if (s.kind == SelectionKind::field) {
       if (s.field) into.push_back({&s, s.type, s.field, shared});
     } else if (s.kind == SelectionKind::inlined) {
-      if (s.type) collect_fields(fragments, budget, s.selections, shared, taken, into, spread);
-    } else if (const auto* fragment = fragments.find(s.name)) {
-      if (std::find(spread.begin(), spread.end(), fragment->name) != spread.end()) continue;
+      if (s.type) collect_fields(budget, s.selections, shared, taken, into, spread);
+    } else if (s.spread) {
+      const auto& fragment = *s.spread->fragment;
+      if (std::find(spread.begin(), spread.end(), &fragment) != spread.end()) continue;
       budget.spend(spread.size() / 8);
-      spread.push_back(fragment->name);
-      collect_fields(fragments, budget, fragment->selections, shared || fragments.shared(s.name), taken, into,
-                     spread);
+      spread.push_back(&fragment);
+      // Spread more than once: what it selects may be met in several sets.
+      collect_fields(budget, fragment.selections, shared || s.spread->spreads > 1, taken, into, spread);
     }
   }
 }
 
 // Any total order will do: by length first, which mostly decides.
 inline bool key_less(std::string_view a, std::string_view b) {
-  return a.size() != b.size() ? a.size() < b.size() : a < b;
+  if (a.size() != b.size()) return a.size() < b.size();
+  return a.front() != b.front() ? a.front() < b.front() : a < b;
+}
+// Names are never empty, and most differ in their first character.
+inline bool same_key(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && a.front() == b.front() && a == b;
 }
 // By key, those of one key in the order that they were met in, none twice.
 void sort_by_key(Members& members);
 // The end of the run of one key that begins there.
 inline Members::const_iterator end_of_key(Members::const_iterator from, Members::const_iterator end) {
   const auto key = from->node->key();
-  while (from != end && from->node->key() == key) ++from;
+  while (from != end && same_key(from->node->key(), key)) ++from;
   return from;
 }
 
--- a/src/graphql/lexer.cpp
+++ b/src/graphql/lexer.cpp
@@ -1,15 +1,31 @@
 #include "graphql/lexer.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace cranemux::graphql {
 namespace {
 
-bool name_start(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_'; }
-bool digit(char c) { return c >= '0' && c <= '9'; }
-bool name_part(char c) { return name_start(c) || digit(c); }
-bool blank(char c) { return c == ' ' || c == '\t'; }
+// What a character may be, by one look: a document is read once for each that the cache has not seen.
+enum Class : std::uint8_t { kNameStart = 1, kDigit = 2, kIgnored = 4, kLineEnd = 8, kPunctuator = 16 };
+constexpr std::array<std::uint8_t, 256> make_classes() {
+  std::array<std::uint8_t, 256> out{};
+  const auto mark = [&](std::string_view all, Class what) {
+    for (const char c : all) out[static_cast<unsigned char>(c)] |= what;
+  };
+  mark("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_", kNameStart);
+  mark("0123456789", kDigit);
+  mark(" \t,", kIgnored);
+  mark("\r\n", kLineEnd);
+  mark("!$&()=:@[]{}|", kPunctuator);
+  return out;
+}
+constexpr auto kClasses = make_classes();
+bool is(char c, unsigned what) { return (kClasses[static_cast<unsigned char>(c)] & what) != 0; }
+bool name_start(char c) { return is(c, kNameStart); }
+bool digit(char c) { return is(c, kDigit); }
+bool name_part(char c) { return is(c, kNameStart | kDigit); }
 
 void add_utf8(std::string& out, std::uint32_t code) {
   if (code < 0x80) {
@@ -42,13 +58,13 @@
 void Lexer::skip() {
   while (at_ < text_.size()) {
     const char c = text_[at_];
-    if (c == '\n' || c == '\r') {
-      new_line();
-    } else if (blank(c) || c == ',') {
+    if (is(c, kIgnored)) {
       ++at_;
+    } else if (is(c, kLineEnd)) {
+      new_line();
     } else if (c == '#') {
       while (at_ < text_.size() && text_[at_] != '\n' && text_[at_] != '\r') ++at_;
-    } else if (text_.substr(at_, 3) == "\xEF\xBB\xBF") {
+    } else if (c == '\xEF' && text_.substr(at_, 3) == "\xEF\xBB\xBF") {
       at_ += 3;
     } else {
       return;
@@ -67,8 +83,8 @@
   if (name_start(c)) return name();
   if (c == '-' || digit(c)) return number();
   if (c == '"') return text_.substr(at_, 3) == R"(""")" ? block() : quoted();
-  const std::size_t length = text_.substr(at_, 3) == "..." ? 3 : 1;
-  if (length == 1 && std::string_view("!$&()=:@[]{}|").find(c) == std::string_view::npos) {
+  const std::size_t length = c == '.' && text_.substr(at_, 3) == "..." ? 3 : 1;
+  if (length == 1 && !is(c, kPunctuator)) {
     wrong(c == '\'' ? "a string stands in double quotes, not in single ones"
                     : "this character has no meaning here",
           at_);
@@ -79,8 +95,8 @@
 }
 
 Token Lexer::name() {
-  const auto start = at_;
-  while (name_part(peek())) ++at_;
+  const auto start = at_++;
+  while (at_ < text_.size() && name_part(text_[at_])) ++at_;
   return {TokenKind::name, text_.substr(start, at_ - start), place(start)};
 }
 
--- a/src/graphql/lexer.h
+++ b/src/graphql/lexer.h
@@ -1,7 +1,7 @@
 // Tokens of GraphQL (specification of October 2021, section 2.1).
 #pragma once
 
-#include <deque>
+#include <list>
 #include <string>
 #include <string_view>
 
@@ -19,7 +19,7 @@
 class Lexer {
  public:
   // `resolved` takes the strings that differ from what is written. Throws Error past `most` tokens.
-  Lexer(std::string_view text, std::size_t most, std::deque<std::string>& resolved)
+  Lexer(std::string_view text, std::size_t most, std::list<std::string>& resolved)
       : text_(text), most_(most), resolved_(resolved) {}
   Token next();
 
@@ -39,7 +39,7 @@
 
   std::string_view text_;
   const std::size_t most_;
-  std::deque<std::string>& resolved_;
+  std::list<std::string>& resolved_;
   std::size_t at_ = 0, count_ = 0, line_start_ = 0;
   std::uint32_t line_ = 1;
 };
--- a/src/graphql/merging.cpp
+++ b/src/graphql/merging.cpp
@@ -49,12 +49,11 @@
 
 class Pass {
  public:
-  Pass(const FragmentIndex& fragments, Budget& budget)
-      : fragments_(fragments), budget_(budget), seen_{Seen(&arena_), Seen(&arena_), Seen(&arena_)} {}
+  explicit Pass(Budget& budget) : budget_(budget), seen_{Seen(&arena_), Seen(&arena_), Seen(&arena_)} {}
 
   std::optional<Fault> run(const List<Selection>& selections) {
     Members members(&arena_);
-    Names spread(&arena_);
+    Spread spread(&arena_);
     collect(selections, false, members, spread);
     look(std::move(members), shapes | meanings);
     return std::move(found_);
@@ -64,14 +63,14 @@
   enum What { shapes = 1, meanings = 2 };  // bits
   using Seen = std::pmr::unordered_set<Members, SetHash>;
 
-  void collect(const List<Selection>& selections, bool shared, Members& into, Names& spread) {
+  void collect(const List<Selection>& selections, bool shared, Members& into, Spread& spread) {
     collect_fields(
-        fragments_, budget_, selections, shared, [](const Selection&) { return true; }, into, spread);
+        budget_, selections, shared, [](const Selection&) { return true; }, into, spread);
   }
 
   void children(const Member* from, const Member* until, int what) {
     Members merged(&arena_);
-    Names spread(&arena_);
+    Spread spread(&arena_);
     for (; from != until; ++from) {
       collect(from->node->selections, from->shared, merged, spread);
     }
@@ -102,7 +101,7 @@
     if (members.size() > kSmall || any_shared(members)) return false;
     for (std::size_t i = 1; i < members.size(); ++i) {
       for (std::size_t j = 0; j < i; ++j) {
-        if (members[i].node->key() == members[j].node->key()) return false;
+        if (same_key(members[i].node->key(), members[j].node->key())) return false;
       }
     }
     return true;
@@ -175,7 +174,6 @@
                        "; give one of them another name, as in 'other: " + std::string(b.node->name) + "'"};
   }
 
-  const FragmentIndex& fragments_;
   Budget& budget_;
   std::byte first_[16 * 1024];
   std::pmr::monotonic_buffer_resource arena_{first_, sizeof first_};
@@ -185,9 +183,8 @@
 
 }  // namespace
 
-std::optional<Fault> find_conflict(const FragmentIndex& fragments, Budget& budget,
-                                   const List<Selection>& selections) {
-  return Pass(fragments, budget).run(selections);
+std::optional<Fault> find_conflict(Budget& budget, const List<Selection>& selections) {
+  return Pass(budget).run(selections);
 }
 
 }  // namespace cranemux::graphql
--- a/src/graphql/parser.cpp
+++ b/src/graphql/parser.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kSchemaBytes = 4 * 1024 * 1024, kSchemaTokens = 1'000'000;
+constexpr std::size_t kGathered = 32;   // room for what is open at once in a usual document
+constexpr char kSpread = '.';           // of `...`
 constexpr std::size_t kTypeDepth = 12;  // see TypeUse
 
 std::string shown(const Token& token) {
@@ -43,6 +45,8 @@
  public:
   Parser(Memory& memory, const Limits& limits)
       : arena_(memory.arena), lexer_(memory.text, limits.tokens, memory.resolved), limits_(limits) {
+    selections_.reserve(kGathered);
+    arguments_.reserve(kGathered);
     step();
   }
 
@@ -55,9 +59,10 @@
   // ---- tokens ----
   void step() { now_ = lexer_.next(); }
   bool ends() const { return now_.kind == TokenKind::end; }
-  bool is(std::string_view p) const { return now_.kind == TokenKind::punctuator && now_.text == p; }
+  // A punctuator by its first character, which tells it from all others.
+  bool is(char p) const { return now_.kind == TokenKind::punctuator && now_.text.front() == p; }
   bool is_name(std::string_view name) const { return now_.kind == TokenKind::name && now_.text == name; }
-  bool take(std::string_view p) {
+  bool take(char p) {
     if (!is(p)) return false;
     step();
     return true;
@@ -70,9 +75,9 @@
   [[noreturn]] void wrong(const std::string& what) const {
     throw Error(std::string(kParseFailed), what, now_.at);
   }
-  Place expect(std::string_view p) {
+  Place expect(char p) {
     const auto at = now_.at;
-    if (!take(p)) wrong("'" + std::string(p) + "' is missing before " + shown(now_));
+    if (!take(p)) wrong("'" + std::string(1, p) + "' is missing before " + shown(now_));
     return at;
   }
   std::string_view name(const char* what = "a name") {
@@ -92,21 +97,21 @@
     if (depth > kTypeDepth) wrong("a list of lists of lists, too deep for a type");
     TypeRef out;
     out.at = now_.at;
-    if (take("[")) {
+    if (take('[')) {
       const auto items = type(depth + 1);
       out.items = new (arena_.allocate(sizeof(TypeRef), alignof(TypeRef))) TypeRef(items);
-      expect("]");
+      expect(']');
     } else {
       out.name = name("a type");
     }
-    out.required = take("!");
+    out.required = take('!');
     return out;
   }
 
   List<Directive> directives(bool constant) {
-    if (!is("@")) return {};
+    if (!is('@')) return {};
     Gathering<Directive> out(directives_);
-    while (is("@")) {
+    while (is('@')) {
       Directive directive;
       directive.at = now_.at;
       step();
@@ -118,16 +123,16 @@
   }
 
   List<Argument> arguments(bool constant) {
-    if (!take("(")) return {};
+    if (!take('(')) return {};
     Gathering<Argument> out(arguments_);
     do {
       Argument argument;
       argument.at = now_.at;
       argument.name = name("an argument");
-      expect(":");
+      expect(':');
       argument.value = value(constant, 1);
       out.add(argument);
-    } while (!take(")"));
+    } while (!take(')'));
     return out.lay_down(arena_);
   }
 
@@ -135,22 +140,22 @@
     check(depth);
     Value out;
     out.at = now_.at;
-    if (is("$")) return variable(constant, out);
-    if (take("[")) {
+    if (is('$')) return variable(constant, out);
+    if (take('[')) {
       out.kind = ValueKind::list;
       Gathering<Value> items(values_);
-      while (!take("]")) items.add(value(constant, depth + 1));
+      while (!take(']')) items.add(value(constant, depth + 1));
       out.items = items.lay_down(arena_);
       return out;
     }
-    if (take("{")) {
+    if (take('{')) {
       out.kind = ValueKind::object;
       Gathering<Argument> members(arguments_);
-      while (!take("}")) {
+      while (!take('}')) {
         Argument member;
         member.at = now_.at;
         member.name = name("an input field");
-        expect(":");
+        expect(':');
         member.value = value(constant, depth + 1);
         members.add(member);
       }
@@ -190,7 +195,7 @@
 
   // ---- executable ----
   void definition(Document& out) {
-    if (is("{") || is_name("query") || is_name("mutation") || is_name("subscription")) {
+    if (is('{') || is_name("query") || is_name("mutation") || is_name("subscription")) {
       out.operations.push_back(operation());
     } else if (is_name("fragment")) {
       out.fragments.push_back(fragment());
@@ -202,15 +207,15 @@
   Operation operation() {
     Operation out;
     out.at = now_.at;
-    if (!is("{")) {
+    if (!is('{')) {
       const auto kind = name();
       out.kind = kind == "query"      ? OperationKind::query
                  : kind == "mutation" ? OperationKind::mutation
                                       : OperationKind::subscription;
       if (now_.kind == TokenKind::name) out.name = name();
-      if (take("(")) {
+      if (take('(')) {
         do out.variables.push_back(variable_definition());
-        while (!take(")"));
+        while (!take(')'));
       }
       out.directives = directives(false);
     }
@@ -220,11 +225,11 @@
 
   VariableDefinition variable_definition() {
     VariableDefinition out;
-    out.at = expect("$");
+    out.at = expect('$');
     out.name = name("a variable's name");
-    expect(":");
+    expect(':');
     out.type = type(1);
-    if (take("=")) out.absent = value(true, 1);
+    if (take('=')) out.absent = value(true, 1);
     out.directives = directives(true);
     return out;
   }
@@ -245,24 +250,24 @@
 
   List<Selection> selection_set(std::size_t depth) {
     check(depth);
-    expect("{");
-    if (is("}")) wrong("a selection cannot be empty: name a field, or leave the braces out");
+    expect('{');
+    if (is('}')) wrong("a selection cannot be empty: name a field, or leave the braces out");
     Gathering<Selection> out(selections_);
     do {
       out.add(selection(depth));
-    } while (!take("}"));
+    } while (!take('}'));
     return out.lay_down(arena_);
   }
 
   Selection selection(std::size_t depth) {
     Selection out;
     out.at = now_.at;
-    if (!take("...")) {
+    if (!take(kSpread)) {
       out.name = name("a field");
-      if (take(":")) out.alias = std::exchange(out.name, name("a field"));
+      if (take(':')) out.alias = std::exchange(out.name, name("a field"));
       out.arguments = arguments(false);
       out.directives = directives(false);
-      if (is("{")) out.selections = selection_set(depth + 1);
+      if (is('{')) out.selections = selection_set(depth + 1);
       return out;
     }
     if (now_.kind == TokenKind::name && now_.text != "on") {
@@ -301,11 +306,11 @@
 
   SchemaDefinition schema(bool extension, std::string_view description, Place at) {
     SchemaDefinition out{extension, description, directives(true), {}, at};
-    if (extension && !is("{")) {
+    if (extension && !is('{')) {
       if (out.directives.empty()) wrong("an extension must add something");
       return out;
     }
-    expect("{");
+    expect('{');
     do {
       const auto which = now_;
       const auto kind = name("query, mutation or subscription");
@@ -316,11 +321,11 @@
             "'" + std::string(kind) + "' is no kind of operation: write query, mutation or subscription",
             which.at);
       }
-      expect(":");
+      expect(':');
       const auto place = now_.at;
       out.roots.emplace_back(static_cast<OperationKind>(found - std::begin(kOperationNames)),
                              Named{name("a type"), place});
-    } while (!take("}"));
+    } while (!take('}'));
     return out;
   }
 
@@ -328,14 +333,14 @@
     DirectiveDefinition out;
     out.description = description;
     out.at = at;
-    expect("@");
+    expect('@');
     out.name = name("a directive's name");
-    out.arguments = input_definitions("(", ")");
+    out.arguments = input_definitions('(', ')');
     out.repeatable = take_name("repeatable");
     if (!take_name("on")) wrong("'on' and the directive's places are missing before " + shown(now_));
-    take("|");
+    take('|');
     do out.locations.push_back(named("a place"));
-    while (take("|"));
+    while (take('|'));
     return out;
   }
 
@@ -377,16 +382,16 @@
         out.fields = field_definitions();
         break;
       case TypeKind::union_of:
-        if (!take("=")) break;
-        take("|");
+        if (!take('=')) break;
+        take('|');
         do out.members.push_back(named("a type"));
-        while (take("|"));
+        while (take('|'));
         break;
       case TypeKind::enumeration:
         out.values = enum_values();
         break;
       case TypeKind::input:
-        out.inputs = input_definitions("{", "}");
+        out.inputs = input_definitions('{', '}');
         break;
     }
   }
@@ -394,9 +399,9 @@
   std::vector<Named> implements() {
     std::vector<Named> out;
     if (!take_name("implements")) return out;
-    take("&");
+    take('&');
     do out.push_back(named("an interface"));
-    while (take("&"));
+    while (take('&'));
     return out;
   }
 
@@ -409,22 +414,22 @@
 
   std::vector<FieldDefinition> field_definitions() {
     std::vector<FieldDefinition> out;
-    if (!take("{")) return out;
+    if (!take('{')) return out;
     do {
       FieldDefinition field;
       field.description = description();
       field.at = now_.at;
       field.name = name("a field");
-      field.arguments = input_definitions("(", ")");
-      expect(":");
+      field.arguments = input_definitions('(', ')');
+      expect(':');
       field.type = type(1);
       field.directives = directives(true);
       out.push_back(std::move(field));
-    } while (!take("}"));
+    } while (!take('}'));
     return out;
   }
 
-  std::vector<InputDefinition> input_definitions(std::string_view open, std::string_view close) {
+  std::vector<InputDefinition> input_definitions(char open, char close) {
     std::vector<InputDefinition> out;
     if (!take(open)) return out;
     do {
@@ -432,9 +437,9 @@
       input.description = description();
       input.at = now_.at;
       input.name = name("an input's name");
-      expect(":");
+      expect(':');
       input.type = type(1);
-      if (take("=")) input.absent = value(true, 1);
+      if (take('=')) input.absent = value(true, 1);
       input.directives = directives(true);
       out.push_back(std::move(input));
     } while (!take(close));
@@ -443,7 +448,7 @@
 
   std::vector<EnumValueDefinition> enum_values() {
     std::vector<EnumValueDefinition> out;
-    if (!take("{")) return out;
+    if (!take('{')) return out;
     do {
       EnumValueDefinition value;
       value.description = description();
@@ -454,7 +459,7 @@
       value.name = name("an enum value");
       value.directives = directives(true);
       out.push_back(std::move(value));
-    } while (!take("}"));
+    } while (!take('}'));
     return out;
   }
 
@@ -472,8 +477,7 @@
   if (text.size() > limits.bytes) {
     throw Error(std::string(kTooLarge), "longer than " + std::to_string(limits.bytes) + " bytes");
   }
-  const auto memory = std::make_shared<Memory>();
-  memory->text = std::move(text);
+  const auto memory = std::make_shared<Memory>(std::move(text));
   Document out;
   out.memory = memory;
   Parser(*memory, limits).document(out);
--- a/src/graphql/schema.h
+++ b/src/graphql/schema.h
@@ -2,7 +2,9 @@
 // read of it during a request allocates nothing.
 #pragma once
 
+#include <algorithm>
 #include <array>
+#include <cstring>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +21,20 @@
 
 struct Type;
 
+// Of the schema's own names, which mean no harm: their size, first and last eight bytes tell most apart.
+struct NameHash {
+  std::size_t operator()(std::string_view name) const {
+    std::uint64_t first = 0, last = 0;
+    const auto part = std::min<std::size_t>(name.size(), sizeof first);
+    std::memcpy(&first, name.data(), part);
+    std::memcpy(&last, name.data() + name.size() - part, part);
+    const auto mixed = (first * 0x9e3779b97f4a7c15ULL) ^ (last * 0xc2b2ae3d27d4eb4fULL) ^ name.size();
+    return mixed ^ mixed >> 32U;
+  }
+};
+template <typename Value>
+using ByName = std::unordered_map<std::string_view, Value, NameHash>;
+
 // A use of a type: its name and the lists and `!` around it, the outermost first, two bits each.
 struct TypeUse {
   const Type* named = nullptr;
@@ -70,9 +86,9 @@
   TypeKind kind = TypeKind::scalar;
   std::string_view name, description;
   std::vector<Field> fields;
-  std::unordered_map<std::string_view, std::size_t> field_at;
+  ByName<std::size_t> field_at;
   std::vector<Input> inputs;  // of an input object
-  std::unordered_map<std::string_view, std::size_t> input_at;
+  ByName<std::size_t> input_at;
   std::vector<EnumValue> values;
   std::vector<const Type*> interfaces;  // that it implements
   std::vector<const Type*> possible;    // the objects that a value of it may be, sorted by address
@@ -129,7 +145,7 @@
   friend class SchemaBuilder;
   std::vector<Document> documents_;  // what all views point into
   std::map<std::string_view, std::unique_ptr<Type>> types_;
-  std::unordered_map<std::string_view, const Type*> type_at_;
+  ByName<const Type*> type_at_;
   std::map<std::string_view, DirectiveUse> directives_;
   std::array<const Type*, 3> roots_{};
   std::string_view description_;
--- a/src/graphql/validator.cpp
+++ b/src/graphql/validator.cpp
@@ -480,7 +480,7 @@
     const auto look = [&](const List<Selection>& set, const Type* parent) {
       if (full() || !parent || left_out_.test(static_cast<std::size_t>(Rule::field_selection_merging)))
         return;
-      if (auto found = find_conflict(fragments_, merges_, set)) faults_.push_back(std::move(*found));
+      if (auto found = find_conflict(merges_, set)) faults_.push_back(std::move(*found));
     };
     for (const auto& operation : document_.operations)
       look(operation.selections, schema_.root(operation.kind));
--- a/src/graphql/validator.h
+++ b/src/graphql/validator.h
@@ -16,7 +16,6 @@
 
 // Field Selection Merging alone (section 5.3.2), of a document whose other rules have been checked: the first
 // conflict in that selection set, if there is one.
-std::optional<Fault> find_conflict(const FragmentIndex& fragments, Budget& budget,
-                                   const List<Selection>& selections);
+std::optional<Fault> find_conflict(Budget& budget, const List<Selection>& selections);
 
 }  // namespace cranemux::graphql
--- /dev/null
+++ b/src/ledger/figures.h
@@ -0,0 +1,34 @@
+// How customers and figures travel between gatekeepers.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cranemux::ledger {
+
+// A customer on the wire: FNV-1a of 64 bits (G. Fowler, L. C. Noll, K.-P. Vo), folded to 32.
+inline std::uint32_t hash_of(std::string_view customer) {
+  std::uint64_t h = 1469598103934665603ULL;
+  for (const char c : customer) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  return static_cast<std::uint32_t>(h ^ h >> 32U);
+}
+
+// Varints of base 128 (LEB128, as in protobuf's encoding): seven bits a byte, the lowest first.
+inline void put(std::string& out, std::uint64_t value) {
+  for (; value >= 128; value >>= 7U) out += static_cast<char>(value | 128U);
+  out += static_cast<char>(value);
+}
+// Moves `at` past the figure. False: it is cut off or longer than 63 bits.
+inline bool get(std::string_view in, std::size_t& at, std::uint64_t& value) {
+  value = 0;
+  for (unsigned shift = 0; at < in.size() && shift < 63; shift += 7) {
+    const auto byte = static_cast<unsigned char>(in[at++]);
+    value |= static_cast<std::uint64_t>(byte & 127U) << shift;
+    if (byte < 128) return true;
+  }
+  return false;
+}
+
+}  // namespace cranemux::ledger
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -26,6 +26,8 @@
   Count reloads = 0, reloads_rejected = 0;
   Count resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
   Count graphql_taken = 0, graphql_rejected = 0, graphql_cost_mismatch = 0, graphql_over_burst = 0;
+  Count documents_cached = 0, documents_read = 0, documents_evicted = 0, documents_registered = 0;
+  Count documents_not_found = 0, documents_wrong_hash = 0, documents_untrusted = 0;
   Count subscriptions_opened = 0, subscriptions_refused = 0, subscriptions_failed = 0, subscriptions_cut = 0;
   Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
@@ -93,6 +95,13 @@
     visit("graphql_rejected", self.graphql_rejected);
     visit("graphql_cost_mismatch", self.graphql_cost_mismatch);
     visit("graphql_over_burst", self.graphql_over_burst);
+    visit("documents_cached", self.documents_cached);
+    visit("documents_read", self.documents_read);
+    visit("documents_evicted", self.documents_evicted);
+    visit("documents_registered", self.documents_registered);
+    visit("documents_not_found", self.documents_not_found);
+    visit("documents_wrong_hash", self.documents_wrong_hash);
+    visit("documents_untrusted", self.documents_untrusted);
     visit("subscriptions_opened", self.subscriptions_opened);
     visit("subscriptions_refused", self.subscriptions_refused);
     visit("subscriptions_failed", self.subscriptions_failed);
--- a/testing/client.cpp
+++ b/testing/client.cpp
@@ -106,11 +106,16 @@
   boost::system::error_code error;
   socket.connect(to_, error);
   net::asio::write(socket, net::asio::buffer(bytes), error);
+  socket.non_blocking(true);
   std::string in;
   http::Message message;
   while (http::parse(in, http::Kind::response, message).state == http::State::partial) {
     char piece[4096];
     const auto count = socket.read_some(net::asio::buffer(piece), error);
+    if (error == net::asio::error::would_block) {
+      stage_.play(milliseconds(1));  // the stand-ins go on meanwhile
+      continue;
+    }
     if (error) break;
     in.append(piece, count);
   }
--- a/tests/subscriptions_test.cpp
+++ b/tests/subscriptions_test.cpp
@@ -1,5 +1,5 @@
-// Many subscriptions at once through the program: a drain with all of them
-// open, and one whose client stops reading.
+// GraphQL through the whole program: many subscriptions at once, a drain with all of them open, a reload, one
+// whose client stops reading; and what callers are told of their quota.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -23,7 +23,7 @@
   subscriptions() : rig(std::getenv("CRANEMUX_PROGRAM")), api(free_port()) {
     rig.folder.write("schema.graphql", kSchema);
     rig.folder.write("graphql.yaml",
-                     "schema: schema.graphql\n"
+                     "schema: schema.graphql\ncost_in_answers: true\n"
                      "subscriptions: {most: 250, by_customer: 250, "
                      "slow_reader: 500ms, keep_alive: 10s}\n");
     rig.file.listeners = "{web: {listen: \"127.0.0.1:" + std::to_string(rig.port) +
@@ -84,4 +84,54 @@
   EXPECT_EQ(rig.counter("subscriptions_opened"), 2U);
 }
 
+// A reload that changes pools and schema ended all subscriptions: fronts were made anew.
+TEST_F(subscriptions, go_on_over_a_reload_of_services) {
+  const auto one = subscribe();
+  ASSERT_TRUE(rig.stage.play_until([&] { return one->count("event: next") >= 2; }));
+  rig.folder.write("schema.graphql", "type Query { job(id: ID): Job count: Int } type Job { id: ID }");
+  rig.file.pools["more"] = "nodes: [@two]";
+  rig.reload();
+  const auto seen = one->count("event: next");
+  ASSERT_TRUE(rig.stage.play_until([&] { return one->count("event: next") > seen + 3; }));
+  EXPECT_EQ(one->count("event: complete"), 0U);
+  const auto late = subscribe();  // the new schema has none
+  EXPECT_TRUE(rig.stage.play_until([&] { return late->status() == 400; }));
+}
+
+struct quota_told : subscriptions {
+  std::string ask(const std::string& body) {
+    Client client(rig.stage, api);
+    return client.raw(
+        "POST /graphql HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nX-Tier: corner\r\n"
+        "Cookie: client=0000000000000001\r\nReq-Deadline-Ms: 2000\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  static std::string book(int times) {
+    std::string out;
+    for (int i = 0; i < times; ++i) out += " a" + std::to_string(i) + ": job(id: 1) { id }";
+    return "{\"query\":\"{" + out + " }\"}";
+  }
+};
+
+// Callers were not told how much of their quota is left, so they could only find out by being turned away.
+TEST_F(quota_told, in_every_final_answer) {
+  rig.node("one").events = {};
+  rig.node("one").body = [](const http::Message&) { return R"({"data":{"a0":{"id":1}}})"; };
+  const auto served = ask(book(2));  // one of two comes: 1 is given back
+  EXPECT_NE(served.find("HTTP/1.1 200"), std::string::npos) << served;
+  EXPECT_NE(served.find("RateLimit-Policy: \"corner\";q=6;w=3\r\n"), std::string::npos) << served;
+  EXPECT_NE(served.find("\"cost\":{\"requested\":2,\"actual\":1,\"level\":5,\"rate\":2,\"burst\":6}"),
+            std::string::npos)
+      << served;
+  EXPECT_NE(served.find("\r\nRateLimit: \"corner\";r="), std::string::npos) << served;
+  std::string refused;
+  for (int i = 0; i < 4 && refused.find("HTTP/1.1 429") == std::string::npos; ++i) refused = ask(book(6));
+  EXPECT_NE(refused.find("HTTP/1.1 429"), std::string::npos) << refused;
+  EXPECT_NE(refused.find("\"cost\":{\"requested\":6,\"level\":"), std::string::npos) << refused;
+  EXPECT_NE(refused.find("\r\nRateLimit: \"corner\";r="), std::string::npos) << refused;
+  ask(book(6));
+  EXPECT_EQ(rig.counter("documents_read"), 2U);
+  EXPECT_GE(rig.counter("documents_cached"), 1U);
+}
+
 }  // namespace
