--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -72,6 +72,9 @@
   bool settles = false;             // told units are a guess; Outcome::settled_units brings the true ones
   double peer_messages_per_s = 0;   // that one front door takes in
   std::size_t message_bytes = 256;  // the most that one of them may hold
+  // Quotas hold whatever becomes of messages and gateways: nothing is used that no keeper with the right has
+  // granted, or of a gateway's own part. At the cost of some refusals when one fails; at most 63 gateways.
+  bool guarded = false;
   bool peers = false;
   bool probes = false;
   bool cancel = false;
@@ -158,8 +161,9 @@
   bool ok = false;
   double total = 0;
 };
+struct Leaving {};  // it is about to end: what it keeps of guarded quotas goes to others
 using Event =
-    std::variant<ServerList, Request, FirstByte, Outcome, Gone, Probed, PeerMessage, Timer, Counted>;
+    std::variant<ServerList, Request, FirstByte, Outcome, Gone, Probed, PeerMessage, Timer, Counted, Leaving>;
 
 // ---- actions ------------------------------------------------------------------------------------
 
@@ -214,6 +218,8 @@
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions);
   // None: nothing is known of it here, or its plan has no rate.
   std::optional<Allowance> allowance(Nanos now, const std::string& customer) const;
+  // Members of the tier and ledgers, in words, a line each; empty where quotas are not guarded.
+  std::string guard_report(Nanos now) const;
 
  private:
   class Impl;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,7 +14,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "ledger/figures.h"
+#include "ledger/ledger.h"
+#include "ledger/report.h"
 
 namespace cranemux {
 namespace {
@@ -71,9 +72,8 @@
 constexpr Nanos kForget = 60 * kSecond;   // what nobody has asked about for so long may be forgotten
 constexpr std::size_t kBudgetsKept = 64;  // different budgets that are counted for a class
 
+constexpr double kRounding = 1e-6;  // units: what filled in parts may fall short of a whole one by so much
 constexpr std::uint64_t kSaneFigure = 1'000'000'000;  // a message that says more is damaged
-constexpr std::uint8_t kVersion = 2;
-enum Kind : std::uint8_t { kAsk, kGrant };  // of an entry in a message
 
 // ---- records ------------------------------------------------------------------------------------
 
@@ -92,29 +92,11 @@
   int misses = 0;                  // questions since then that nobody answered
   int held = 0, open = 0;
   double held_weight = 0, held_units = 0, asked_units = 0;
-  bool news = false;  // what its keeper assumes of it has changed
+  bool news = false;        // what its keeper assumes of it has changed
+  ledger::Spender spender;  // where quotas are guarded: what stands in for `limit`
 };
 
-struct Claim {  // what a keeper knows of one gateway's part in a ledger
-  std::uint32_t life = 0;
-  std::int64_t limit = 0;  // units that it may have used in all that life, or attempts out at once
-  std::int64_t used = 0;   // as last told
-  double weight = 0, wanted = 0;
-  Nanos at = 0;
-};
-
-struct Ledger {  // of a customer whose keeper this gateway is
-  std::uint32_t hash = 0;
-  const PlanSettings* plan = nullptr;
-  double level = 0;  // D, less what is granted
-  Nanos filled = 0, opened = 0, heard = 0;
-  std::map<int, Claim> claims;  // by gateway
-};
-
-struct Peer {
-  Nanos shunned_until = 0;  // as a keeper: it has not answered
-  std::string mail;         // entries that wait for the next message
-};
+using ledger::Ledger;  // of a customer whose keeper this gateway is
 
 struct Server {
   ServerEntry entry;
@@ -150,12 +132,11 @@
   std::vector<PlanSettings> plans;
   std::uint32_t life = 0;
   std::map<std::uint32_t, Account> accounts;
-  std::map<std::uint32_t, Ledger> ledgers;
-  std::set<std::uint32_t> busy;  // accounts with something to ask or tell
-  std::vector<Peer> peers;
-  std::deque<int> posts;  // peers with mail, longest waiting first
-  double stamps = 1;      // messages that may go now
-  Nanos started = -1, posted = 0, heard = 0;
+  std::set<std::uint32_t> busy;      // accounts with something to ask or tell
+  std::vector<Nanos> shunned_until;  // by gateway: as a keeper it has not answered
+  Nanos started = -1;
+  std::unique_ptr<ledger::Mail> mail;  // from the start on
+  std::unique_ptr<ledger::Ledgers> ledgers;
 };
 
 class Brain::Impl {
@@ -166,7 +147,7 @@
     if (!books) {
       books_->plans = s_.plans;
       life_ = static_cast<std::uint32_t>(random_() & 0xffffU);
-      peers_.resize(static_cast<std::size_t>(s_.gateways));
+      shunned_until_.resize(static_cast<std::size_t>(s_.gateways));
     }
     if (plans_ != s_.plans) throw std::invalid_argument("cranemux: shared quotas need equal plans");
     fresh_.window = std::max(kWindowLeast, kWindowFirst / s_.gateways);
@@ -182,6 +163,13 @@
     return Allowance{std::min(a.plan->burst, a.left + since), a.plan->burst, a.plan->rate};
   }
 
+  std::string guard_report(Nanos now) const {
+    if (!s_.guarded || !books_->mail) return {};
+    const auto on = std::count_if(accounts_.begin(), accounts_.end(),
+                                  [](const auto& a) { return a.second.spender.part.on(); });
+    return ledger::report(*books_->mail, *books_->ledgers, static_cast<std::size_t>(on), ledger::Time(now));
+  }
+
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
     now_ = now;
     actions_ = &actions;
@@ -189,7 +177,7 @@
     for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
     if (freed_ && now_ < next_tick_) release_held();
     if (now_ >= next_tick_) tick();
-    post();
+    mail().post(time(), [this](int to, std::string bytes) { act(Tell{to, std::move(bytes)}); });
     wake();
   }
 
@@ -198,6 +186,7 @@
     const auto need = [](bool good, const char* what) {
       if (!good) throw std::invalid_argument(std::string("cranemux: ") + what);
     };
+    need(!s.guarded || s.gateways <= ledger::kMostGuarded, "too many gateways for guarded quotas");
     need(s.gateways >= 1 && s.index >= 0 && s.index < s.gateways, "index must lie within gateways");
     need(!s.classes.empty() && s.max_attempts >= 1 && s.most_units > 0, "a class, an attempt and a unit");
     for (const auto& c : s.classes) need(c.aim > 0, "a class needs an aim above 0");
@@ -229,8 +218,9 @@
     if (!a.plan) return;  // a plan that the settings do not name has no quota: refused
     a.hash = ledger::hash_of(request.customer);
     a.spread = std::clamp(request.spread, 1, s_.gateways);
-    a.level = a.sure = a.left = a.plan->burst;  // until a keeper tells more
     a.filled = started_at_;
+    if (s_.guarded) return;
+    a.level = a.sure = a.left = a.plan->burst;  // until a keeper tells more
     // At first D splits evenly, and its share may be spent while the question is out; but not before the
     // store has filled again from what an earlier life of this gateway may have spent.
     const double refilled = a.plan->rate > 0 ? a.plan->burst / a.plan->rate * kSecond : 0;
@@ -239,7 +229,15 @@
   }
 
   // A gateway that hears none of the others spends its even share alone.
-  bool alone() const { return s_.gateways > 1 && now_ - heard_at_ > kAlone; }
+  bool alone() const { return !s_.guarded && s_.gateways > 1 && (time() - mail().heard()).count() > kAlone; }
+
+  ledger::Time time() const { return ledger::Time(now_); }
+  ledger::Mail& mail() const { return *books_->mail; }
+  ledger::Ledgers& ledgers() const { return *books_->ledgers; }
+  const ledger::Rights& rights() const { return *mail().rights(); }
+  bool guarded(const Account& a) const { return s_.guarded && a.plan->rate > 0; }
+  // Every gateway's part of a guarded quota is even: what a customer says of its set is not relied upon.
+  double part(double whole) const { return whole / s_.gateways; }
 
   // The plan's store fills continuously, so D does too.
   void fill(Account& a) {
@@ -255,6 +253,9 @@
 
   // An even share of D, while word of it is fresh, is spent at once; else what a keeper has granted.
   bool has_credit(const Account& a, double units) const {
+    if (guarded(a)) {
+      return a.spender.covers(a.total, units, part(a.plan->rate), part(a.plan->burst), time());
+    }
     if (alone()) return a.plan->rate > 0 ? a.level >= units : a.open * a.spread < a.plan->open_limit;
     if (now_ > a.answered + kCreditLife) return false;  // stale, as after a stall
     if (a.plan->rate > 0) {
@@ -267,12 +268,14 @@
   // lasts. What has filled since does not count: each gateway of a set would lend the same units to itself,
   // again and again.
   bool may_borrow(const Account& a, double units) const {
-    if (a.asked <= a.answered) return false;  // its keeper has none left
+    if (guarded(a) || a.asked <= a.answered) return false;  // its keeper has none left
     return a.plan->rate > 0 ? a.sure >= units : a.open * a.spread < a.plan->open_limit;
   }
 
   void spend(Account& a, double units) {
     a.ceiling -= units;
+    if (guarded(a) && !a.spender.spend(a.total, units, part(a.plan->rate), part(a.plan->burst), time()))
+      return;
     a.total += std::llround(units);
     a.left -= units;
     a.level = std::max(debt_of(*a.plan), a.level - units);
@@ -411,8 +414,6 @@
 
   // ---- peer messages ----------------------------------------------------------------------------
 
-  // A message: version, life of the sender (2), then entries: kind and plan (1), hash (4) and varints
-  // An ask: used, level, weight, wanted.  A grant: life, limit, level.
   static std::uint64_t level_of(const PlanSettings& plan, double level) {
     const double part = plan.burst > 0 ? std::clamp(level / plan.burst, 0.0, 1.0) : 1;
     return static_cast<std::uint64_t>(part * kLevelSteps);
@@ -421,59 +422,27 @@
     return plan.burst * std::min(1.0, static_cast<double>(told) / kLevelSteps);
   }
 
-  void write(int to, Kind kind, const PlanSettings& plan, std::uint32_t hash,
-             std::initializer_list<std::uint64_t> values) {
-    if (!s_.peers) return;
-    std::string entry(1, static_cast<char>(kind | static_cast<unsigned>(&plan - plans_.data()) << 2U));
-    for (unsigned shift = 0; shift < 32; shift += 8) entry += static_cast<char>(hash >> shift & 255U);
-    for (const auto value : values) ledger::put(entry, value);
-    auto& mail = peers_[static_cast<std::size_t>(to)].mail;
-    if (mail.empty()) {
-      posts_.push_back(to);
-      mail = {static_cast<char>(kVersion), static_cast<char>(life_ & 255U), static_cast<char>(life_ >> 8U)};
-    }
-    if (mail.size() + entry.size() <= s_.message_bytes) mail += entry;  // what is lost is asked again
-  }
-
-  // Entries go at once while messages are few; then they wait and share one, so that no gateway is sent
-  // more than it takes in.
-  void post() {
-    const double rate = kMailShare * s_.peer_messages_per_s * std::max(1.0, (s_.gateways - 1) / kMailPeers);
-    stamps_ = std::min(kMailBurst, stamps_ + rate * static_cast<double>(now_ - posted_) / kSecond);
-    posted_ = now_;
-    while (!posts_.empty() && stamps_ >= 1) {
-      act(Tell{posts_.front(), std::exchange(peers_[static_cast<std::size_t>(posts_.front())].mail, {})});
-      posts_.pop_front();
-      stamps_ -= 1;
-    }
-  }
-
   void on(const PeerMessage& message) {
-    const auto& in = message.bytes;
-    if (message.from < 0 || message.from >= s_.gateways || message.from == s_.index) return;
-    if (in.size() < 3 || static_cast<std::uint8_t>(in[0]) != kVersion) return;
-    const auto byte = [&](std::size_t i) {
-      return static_cast<std::uint32_t>(static_cast<unsigned char>(in[i]));
-    };
-    auto& peer = peers_[static_cast<std::size_t>(message.from)];
-    heard_at_ = now_;
-    peer.shunned_until = 0;
-    const auto life = byte(1) | byte(2) << 8U;
-    for (std::size_t at = 3; at + 5 <= in.size();) {
-      const auto kind = byte(at) & 3U;
-      const std::size_t plan = byte(at) >> 2U;
-      const auto hash = byte(at + 1) | byte(at + 2) << 8U | byte(at + 3) << 16U | byte(at + 4) << 24U;
-      at += 5;
-      std::uint64_t v[4] = {};
-      for (int i = 0; i < (kind == kAsk ? 4 : 3); ++i) {
-        if (!ledger::get(in, at, v[i])) return;
+    const auto letter = mail().read(message.from, message.bytes, time());
+    if (!letter) return;
+    shunned_until_[static_cast<std::size_t>(message.from)] = 0;
+    for (const auto& entry : letter->entries) {
+      const auto& v = entry.figures;
+      if (entry.plan >= plans_.size() || *std::max_element(v.begin(), v.begin() + 3) > kSaneFigure) return;
+      if (entry.kind == ledger::Kind::ask) {
+        const auto wanted = static_cast<std::int64_t>(std::min(v[3], kSaneFigure));
+        keep(message.from, entry, v[1],
+             {letter->life, static_cast<std::uint32_t>(v[4]), static_cast<std::int64_t>(v[0]),
+              static_cast<double>(v[2]), wanted});
+      }
+      if (entry.kind == ledger::Kind::hand) {
+        ledgers().take_over(open_ledger(entry), message.from, rights().epoch(message.from), v[0], v[1],
+                            time());
       }
-      if (plan >= plans_.size() || *std::max_element(v, v + 3) > kSaneFigure) return;
-      if (kind == kAsk)
-        keep(message.from, life, hash, plans_[plan], static_cast<std::int64_t>(v[0]), v[1], v[2], v[3]);
-      const auto a = accounts_.find(hash);
-      if (kind == kGrant && v[0] == life_ && a != accounts_.end())
-        granted(a->second, static_cast<std::int64_t>(v[1]), v[2]);
+      const auto a = accounts_.find(entry.customer);
+      if (entry.kind == ledger::Kind::grant && v[0] == life_ && a != accounts_.end())
+        granted(a->second, static_cast<std::int64_t>(v[1]), v[2], static_cast<std::uint32_t>(v[3]),
+                v[4] == 1);
     }
   }
 
@@ -486,9 +455,10 @@
   // are totals of a life, so loss, repeats and stale messages mend themselves.
 
   int keeper_of(const Account& a) const {
+    if (s_.guarded) return rights().keeper(a.hash);
     for (int rank = 0; rank < kKeepers; ++rank) {
-      const int g = static_cast<int>((a.hash + static_cast<unsigned>(rank)) % peers_.size());
-      if (now_ >= peers_[static_cast<std::size_t>(g)].shunned_until) return g;
+      const int g = static_cast<int>((a.hash + static_cast<unsigned>(rank)) % shunned_until_.size());
+      if (now_ >= shunned_until_[static_cast<std::size_t>(g)]) return g;
     }
     return -1;
   }
@@ -514,8 +484,8 @@
                                        : kSecond))
       return;
     if (!waits) a.misses = 0;
-    if (waits && ++a.misses >= kAskTries && keeper >= 0 && keeper != s_.index) {
-      peers_[static_cast<std::size_t>(keeper)].shunned_until = now_ + kShun;  // or until it is heard
+    if (waits && ++a.misses >= kAskTries && keeper >= 0 && keeper != s_.index && !s_.guarded) {
+      shunned_until_[static_cast<std::size_t>(keeper)] = now_ + kShun;  // or until it is heard
       keeper = keeper_of(a);
     }
     if (a.held == 0 && !a.news && !waits) return;
@@ -528,47 +498,52 @@
     const auto weight = static_cast<std::uint64_t>(std::llround(a.held_weight * kWeightSteps));
     const auto wanted = static_cast<std::uint64_t>(std::llround(a.plan->rate > 0 ? a.held_units : a.held));
     const auto level = level_of(*a.plan, a.level);
-    if (keeper == s_.index && !alone())
-      return keep(keeper, life_, a.hash, *a.plan, used, level, weight, wanted);
-    write(keeper, kAsk, *a.plan, a.hash, {static_cast<std::uint64_t>(used), level, weight, wanted});
+    const auto number =
+        guarded(a) ? a.spender.credit.ask(used, static_cast<std::int64_t>(wanted), time()) : 0;
+    const ledger::Entry entry{ledger::Kind::ask,
+                              static_cast<std::uint32_t>(a.plan - plans_.data()),
+                              a.hash,
+                              {static_cast<std::uint64_t>(used), level, weight, wanted, number}};
+    if (keeper != s_.index || alone()) return mail().write(keeper, entry);
+    keep(keeper, entry, level,
+         {life_, number, used, static_cast<double>(weight), static_cast<std::int64_t>(wanted)});
+  }
+
+  Ledger& open_ledger(const ledger::Entry& entry) {
+    const auto& plan = plans_[entry.plan];
+    const Ledger fresh{entry.customer, entry.plan, plan.rate, plan.burst, debt_of(plan)};
+    return ledgers().open(fresh, time());
   }
 
   // As keeper: what `from` used beyond its limit was borrowed, what it no longer wants comes back.
-  void keep(int from, std::uint32_t life, std::uint32_t hash, const PlanSettings& plan, std::int64_t used,
-            std::uint64_t level, std::uint64_t weight, std::uint64_t wanted) {
-    auto [at, fresh] = ledgers_.try_emplace(hash);
-    auto& ledger = at->second;
-    if (fresh) ledger = {hash, &plan, plan.burst, now_, now_, now_, {}};
-    if (ledger.plan != &plan) return;
-    refill(ledger);
-    ledger.heard = now_;
-    auto [found, first] = ledger.claims.try_emplace(from);
-    auto& claim = found->second;
-    if (first || claim.life != life) claim.limit = used;
+  void keep(int from, const ledger::Entry& entry, std::uint64_t level, const ledger::Ask& ask) {
+    if (s_.guarded && (ends_ || !ledgers().holds(entry.customer, time()))) return refuse(from, entry, ask);
+    auto& ledger = open_ledger(entry);
+    if (ledger.plan != entry.plan) return;
+    ledgers().fill(ledger, time());
+    ledger.heard = time();
     // A keeper that has just started or stands in may know no R: the least told level counts.
-    if (first && now_ - ledger.opened < kYoung) {
-      ledger.level = std::min(ledger.level, level_of(plan, level));
+    if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
+      ledger.level = std::min(ledger.level, level_of(plans_[entry.plan], level));
     }
-    const auto wants = static_cast<std::int64_t>(std::min<std::uint64_t>(wanted, kSaneFigure));
-    const auto limit = std::max(used, std::min(claim.limit, used + wants));
-    take(ledger, static_cast<double>(limit - claim.limit));
-    claim = {life, limit, used, static_cast<double>(weight), static_cast<double>(wants), now_};
-    share_out(ledger, from);
+    if (ledger.merge(from, ask, time())) share_out(ledger, from);
   }
 
-  void refill(Ledger& ledger) {
-    const double gain = ledger.plan->rate * static_cast<double>(now_ - ledger.filled) / kSecond;
-    ledger.level = std::min(ledger.plan->burst, ledger.level + gain);
-    ledger.filled = now_;
-  }
-  void take(Ledger& ledger, double units) {
-    ledger.level = std::clamp(ledger.level - units, debt_of(*ledger.plan), ledger.plan->burst);
+  // Without the right to keep: the asking gateway may turn to its part.
+  void refuse(int from, const ledger::Entry& entry, const ledger::Ask& ask) {
+    if (from == s_.index) return;
+    const auto used = static_cast<std::uint64_t>(ask.used);
+    mail().write(
+        from,
+        {ledger::Kind::grant, entry.plan, entry.customer, {ask.life & 0xffffU, used, 0, ask.number, 0}});
   }
 
   // The split among the gateways that hold requests, by weight, rounded up to whole requests; what that
   // gives too much is taken off again, one request each from the lowest draws. `asker` is answered anyway.
   void share_out(Ledger& ledger, int asker) {
-    refill(ledger);
+    ledgers().fill(ledger, time());
+    if (s_.guarded && !ledgers().holds(ledger.customer, time())) return;
+    const auto& plan = plans_[ledger.plan];
     struct Share {
       std::uint64_t draw;
       int gateway;
@@ -576,14 +551,15 @@
     };
     std::vector<Share> shares;
     const double most = s_.most_units;
-    double weights = 0, given = 0, d = std::floor(ledger.level);
-    if (ledger.plan->rate <= 0) d = ledger.plan->open_limit;
+    double weights = 0, given = 0, d = std::floor(ledger.level + kRounding);
+    if (plan.rate <= 0) d = plan.open_limit;
     for (const auto& [gateway, claim] : ledger.claims) {
       const double lacks = claim.wanted - static_cast<double>(claim.limit - claim.used);
-      if (ledger.plan->rate <= 0 && now_ - claim.at < kYoung) d -= static_cast<double>(claim.limit);
-      if (lacks <= 0 || now_ - claim.at > kCreditLife) continue;
+      const auto age = (time() - claim.at).count();
+      if (plan.rate <= 0 && age < kYoung) d -= static_cast<double>(claim.limit);
+      if (lacks <= 0 || age > kCreditLife) continue;
       weights += claim.weight;
-      shares.push_back({random_(), gateway, ledger.plan->rate > 0 ? std::min(lacks, most) : 1, lacks});
+      shares.push_back({random_(), gateway, plan.rate > 0 ? std::min(lacks, most) : 1, lacks});
     }
     for (auto& share : shares) {
       const double part = d * ledger.claims.at(share.gateway).weight / std::max(weights, 1e-9);
@@ -597,7 +573,7 @@
       given -= off;
       if (share.units <= 0) continue;
       ledger.claims.at(share.gateway).limit += std::llround(share.units);
-      if (ledger.plan->rate > 0) take(ledger, share.units);
+      if (plan.rate > 0) ledger.take(share.units);
       if (share.gateway != asker) grant(ledger, share.gateway);
     }
     if (asker >= 0) grant(ledger, asker);
@@ -605,15 +581,25 @@
 
   void grant(const Ledger& ledger, int to) {
     const auto& claim = ledger.claims.at(to);
-    const auto level = level_of(*ledger.plan, ledger.level);
-    if (to == s_.index) return granted(accounts_[ledger.hash], claim.limit, level);
-    write(to, kGrant, *ledger.plan, ledger.hash,
-          {claim.life, static_cast<std::uint64_t>(claim.limit), level});
+    const auto level = level_of(plans_[ledger.plan], ledger.level);
+    if (to == s_.index) return granted(accounts_[ledger.customer], claim.limit, level, claim.number, true);
+    mail().write(to,
+                 {ledger::Kind::grant,
+                  ledger.plan,
+                  ledger.customer,
+                  {claim.life & 0xffffU, static_cast<std::uint64_t>(claim.limit), level, claim.number, 1}});
   }
 
-  void granted(Account& a, std::int64_t limit, std::uint64_t level) {
+  void granted(Account& a, std::int64_t limit, std::uint64_t level, std::uint32_t number, bool kept) {
     if (!a.plan) return;
     fill(a);
+    if (guarded(a)) {
+      if (!kept) a.spender.refused(number, time());
+      if (!kept) return a.spender.turn(rights(), a.hash, s_.index, time());
+      if (!a.spender.credit.granted(number, limit, time())) return;
+      a.spender.unkept_until = ledger::Time(-1);
+      limit = a.spender.credit.limit();
+    }
     a.limit = limit;
     if (a.plan->rate > 0 && a.total > limit) note(a);  // spent while it was given back
     a.answered = std::max(now_, a.asked);
@@ -938,18 +924,45 @@
 
   void start() {
     started_ = true;
-    if (started_at_ < 0) started_at_ = heard_at_ = posted_ = now_;
+    if (!books_->mail) open_books();
     next_split_ = (now_ / kSubperiod + 1) * kSubperiod;
     last_tick_ = refilled_ = now_;
     if (s_.list_on_request) act(Watch{});
   }
 
+  void open_books() {
+    started_at_ = now_;
+    const double rate = kMailShare * s_.peer_messages_per_s * std::max(1.0, (s_.gateways - 1) / kMailPeers);
+    const auto life = static_cast<std::uint16_t>(life_);
+    books_->mail =
+        std::make_unique<ledger::Mail>(ledger::MailTerms{s_.gateways, s_.index, life, s_.message_bytes, rate,
+                                                         kMailBurst, s_.peers, s_.guarded, s_.seed},
+                                       time());
+    books_->ledgers = std::make_unique<ledger::Ledgers>(mail().rights());
+  }
+
+  // Where quotas are guarded: votes flow, parts turn on and off, and ledgers go to whose they are.
+  void guard() {
+    if (!s_.guarded || now_ < next_guard_) return;
+    next_guard_ = now_ + mail().every().count();
+    mail().beat(time());
+    for (auto& [hash, a] : accounts_) {
+      if (a.plan) a.spender.turn(rights(), hash, s_.index, time());
+    }
+    ledgers().hand_over(s_.index, ends_, time());
+    ledgers().hand(s_.index, time(), [this](int to, const ledger::Hand& h) {
+      mail().write(to, {ledger::Kind::hand, h.plan, h.customer, {h.level, h.number}});
+    });
+  }
+  void on(const Leaving&) { ends_ = true; }
+
   void tick() {
     last_tick_ = now_;
+    guard();
     if (now_ >= next_split_) {
       next_split_ = (now_ / kSubperiod + 1) * kSubperiod;
       refill_cold(now_ - std::exchange(refilled_, now_));
-      for (auto& [hash, ledger] : ledgers_) share_out(ledger, -1);
+      for (auto& [hash, ledger] : ledgers().all()) share_out(ledger, -1);
       forget();
     }
     for (const auto hash : std::vector<std::uint32_t>(busy_.begin(), busy_.end())) {
@@ -965,13 +978,7 @@
   // A quiet account goes once its store is full again, and after its keepers have dropped their claims, whose
   // totals would not fit its next ones. A ledger goes once it is full.
   void forget() {
-    for (auto& [hash, ledger] : ledgers_) {
-      std::erase_if(ledger.claims, [&](const auto& c) { return now_ - c.second.at > kForget / 2; });
-    }
-    std::erase_if(ledgers_, [&](const auto& item) {
-      const auto& [hash, ledger] = item;
-      return now_ - ledger.heard > kForget && (ledger.plan->rate <= 0 || ledger.level >= ledger.plan->burst);
-    });
+    ledgers().forget(time(), ledger::Time(kForget));
     std::erase_if(accounts_, [&](const auto& item) {
       const auto& [hash, a] = item;
       if (a.held > 0 || a.open > 0 || busy_.contains(hash)) return false;
@@ -985,8 +992,9 @@
 
   // Timers only while something waits; the subperiod's otherwise.
   void wake() {
-    const bool works = !jobs_.empty() || !busy_.empty() || !posts_.empty();
-    const auto at = works ? std::min(next_split_, last_tick_ + kTick) : next_split_;
+    const bool works = !jobs_.empty() || !busy_.empty() || mail().waits() || ledgers().hands();
+    auto at = works ? std::min(next_split_, last_tick_ + kTick) : next_split_;
+    if (s_.guarded) at = std::min(at, next_guard_);
     if (at != next_tick_ || at <= now_) act(SetTimer{1, next_tick_ = std::max(at, now_ + 1)});
   }
 
@@ -996,19 +1004,17 @@
   const std::vector<PlanSettings>& plans_ = books_->plans;
   std::uint32_t& life_ = books_->life;
   std::map<std::uint32_t, Account>& accounts_ = books_->accounts;
-  std::map<std::uint32_t, Ledger>& ledgers_ = books_->ledgers;
   std::set<std::uint32_t>& busy_ = books_->busy;
-  std::vector<Peer>& peers_ = books_->peers;
-  std::deque<int>& posts_ = books_->posts;
-  double& stamps_ = books_->stamps;
-  Nanos &started_at_ = books_->started, &posted_ = books_->posted, &heard_at_ = books_->heard;
+  std::vector<Nanos>& shunned_until_ = books_->shunned_until;
+  Nanos& started_at_ = books_->started;
   Nanos now_ = 0;
   std::vector<Action>* actions_ = nullptr;
   bool started_ = false;
   bool idle_ = false;
+  bool ends_ = false;     // keeps nothing any more
   bool pressed_ = false;  // no server had room for a held request at the last look
   bool freed_ = false;    // credits have come since the last look at held requests
-  Nanos next_split_ = 0, next_tick_ = 0, last_tick_ = 0, refilled_ = 0;
+  Nanos next_guard_ = 0, next_split_ = 0, next_tick_ = 0, last_tick_ = 0, refilled_ = 0;
   double served_recently_ = 0, hedge_tokens_ = 0;
   Server fresh_;
   std::vector<Server> servers_;
@@ -1027,6 +1033,7 @@
 std::optional<Allowance> Brain::allowance(Nanos now, const std::string& customer) const {
   return impl_->allowance(now, customer);
 }
+std::string Brain::guard_report(Nanos now) const { return impl_->guard_report(now); }
 void Brain::step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
   impl_->step(now, events, actions);
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -29,6 +29,15 @@
 // Which route and pool would take a request, and why. 0: one takes it, 1: none does.
 int explain_route(const RouteCommand& asked);
 
+struct QuotaBoundCommand {
+  std::string file;
+  int gatekeepers = 0;  // 0: as the file has it
+  double loss = 0.05, delay_ms = 15, restarts = 1, splits = 0, window_s = 2;
+  bool as_json = false;
+};
+// How far beyond its quota a customer can get, by plan: the bound in advance.
+int quota_bound(const QuotaBoundCommand& command);
+
 struct GraphqlCommand {
   std::string schema, document, variables, operation;  // the first three are files
   double usual_size = 10;
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "config/yaml_reader.h"
+#include "ledger/rights.h"
 #include "routing/normalise.h"
 
 namespace cranemux::config {
@@ -80,7 +81,7 @@
     }
     out_.peer_messages_per_s = settings_.peer_messages_per_s;
     if (!node.IsDefined()) return;
-    if (!yaml_.map(node, "tier", {"index", "listen", "peers", "messages_per_s"})) return;
+    if (!yaml_.map(node, "tier", {"index", "listen", "peers", "messages_per_s", "quotas"})) return;
     out_.peers.clear();
     for (const auto& peer : yaml_.texts(node, "peers", "tier.")) {
       if (const auto at = address(node["peers"], "tier.peers", peer)) out_.peers.push_back(*at);
@@ -93,6 +94,15 @@
     settings_.peers = out_.peer_listen && settings_.gateways > 1;
     out_.peer_messages_per_s = yaml_.number(node, "messages_per_s", "tier.", 40, 1, 1e6);
     settings_.peer_messages_per_s = out_.peer_messages_per_s;
+    const auto quotas = yaml_.text(node, "quotas", "tier.", "trusting");
+    if (quotas != "trusting" && quotas != "guarded")
+      yaml_.fault(node["quotas"], "tier.quotas", "must be trusting or guarded");
+    settings_.guarded = quotas == "guarded";
+    if (settings_.guarded && settings_.gateways > ledger::kMostGuarded) {
+      yaml_.fault(
+          node["peers"], "tier.peers",
+          "at most " + std::to_string(ledger::kMostGuarded) + " gatekeepers can guard their quotas together");
+    }
   }
 
   std::optional<Address> address(const YAML::Node& at, const std::string& key, const std::string& text) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -63,6 +63,11 @@
   return brain_.allowance(now.count(), customer);
 }
 
+std::string Core::guard_report() const {
+  const auto now = std::chrono::duration_cast<nanoseconds>(Clock::now().time_since_epoch());
+  return brain_.guard_report(now.count());
+}
+
 RpcId Core::take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel) {
   const auto id = ++last_id_;
   ++counters_.rpcs_taken;
@@ -136,6 +141,8 @@
 
 void Core::peer_said(int from, std::string bytes) { push(cranemux::PeerMessage{from, std::move(bytes)}); }
 
+void Core::leaving() { push(cranemux::Leaving{}); }
+
 void Core::turn() {
   const auto now = Clock::now();
   turn_asked_ = true;  // what happens during the step is taken up after it
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -102,12 +102,15 @@
   // A customer's store, as the module knows it here; none where it does not, or its plan has no rate.
   std::optional<cranemux::Allowance> allowance(const std::string& customer) const;
 
+  std::string guard_report() const;  // see Brain
+
   RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
   void abandoned(RpcId rpc);  // its client has gone
   void attempt_ended(RpcId rpc, int attempt, AttemptResult&& result);
   void resolved(cranemux::ServerList&& list);
   void peer_said(int from, std::string bytes);
-  void turn();  // one step of the module, with all that has happened since the last
+  void leaving();  // the gatekeeper is about to end
+  void turn();     // one step of the module, with all that has happened since the last
 
   void forget_all() { rpcs_.clear(); }  // at the process's end: what is left has no answer
 
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -221,6 +221,7 @@
 
 void Gatekeeper::drain() {
   if (std::exchange(draining_, true)) return;
+  for (auto& [name, member] : pools_) member.pool->core().leaving();
   net::spawn(io_, logger_, "drain", wind_down());
 }
 
--- a/src/gatekeeper_console.cpp
+++ b/src/gatekeeper_console.cpp
@@ -1,4 +1,5 @@
 // The console's commands on a running gatekeeper.
+#include <set>
 #include <sstream>
 
 #include "gatekeeper.h"
@@ -96,6 +97,14 @@
     print_nodes(out, argument);
   } else if (name == "quotas") {
     print_quotas(out, argument);
+  } else if (name == "members") {
+    // Pools of one quota group share their books: each group is told of once.
+    std::set<std::string> told;
+    for (const auto& [pool, member] : pools_) {
+      const auto& group = member.pool->config().quota_group;
+      if (told.insert(group).second) out << member.pool->core().guard_report();
+    }
+    if (out.str().empty()) return "quotas are not guarded here: see docs/quota-bound.md\n";
   } else if (name == "log") {
     const auto level = metrics::level_named(argument);
     if (level) logger_.set_level(*level);
@@ -107,7 +116,8 @@
     drain();
     out << "draining: answers what it has taken, then ends\n";
   } else if (name == "help") {
-    out << "counters [POOL] | pools | routes | nodes [POOL] | quotas [POOL] | log [debug|info|warning|error] "
+    out << "counters [POOL] | pools | routes | nodes [POOL] | quotas [POOL] | members | log "
+           "[debug|info|warning|error] "
            "| "
            "drain POOL|* [NODE] | undrain POOL|* [NODE] | drain | help | quit\n";
   } else {
--- /dev/null
+++ b/src/ledger/bound.cpp
@@ -0,0 +1,76 @@
+#include "ledger/bound.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "ledger/ledger.h"
+
+namespace cranemux::ledger {
+
+double Bound::share(const Plan& plan, Time window) const {
+  return units / std::max(1e-9, plan.burst + units_in(plan.rate, window));
+}
+
+namespace {
+
+Bound guarded(const Tier& tier, const Plan& plan) {
+  Bound out;
+  const auto beats = beats_of(tier.gatekeepers, tier.messages_per_s);
+  const int n = tier.gatekeepers;
+  // What was granted in the life of a credit before the window may be used in it.
+  out.terms.push_back(
+      {"grants made before the window", "rate × credit life", units_in(plan.rate, kCreditLife)});
+  if (n > 1) {
+    // Whoever has turned to its part learns late that a keeper counts it again. Of a tier less than half can
+    // be at that at once while a keeper has the right.
+    const auto overlap = kRefusalHolds + 2 * tier.delay;
+    const int beside = (n - 1) / 2;
+    out.terms.push_back({"parts that a keeper fills again already",
+                         "(n-1)/2 × rate / n × (refusal holds + 2 × delay)",
+                         beside * units_in(plan.rate / n, overlap)});
+    const double lost = plan.burst;
+    out.lost.push_back(
+        {"a keeper that ends without handing over", "burst at most, filled again in burst / rate", lost});
+    out.lost.push_back({"until another keeper has the right", "rate × (silence + 2 × quiet)",
+                        units_in(plan.rate, beats.silence + 2 * beats.quiet)});
+    out.lost.push_back({"of a gatekeeper that ends", "its grants not used: rate × credit life",
+                        units_in(plan.rate, kCreditLife)});
+    out.lost.push_back(
+        {"a smaller side of a split, beyond its part", "(1 - side / n) of the rate while it lasts", 0});
+  }
+  return out;
+}
+
+// As on the platform: room first. Each failure may give what it loses a second time.
+Bound trusting(const Tier& tier, const Plan& plan) {
+  Bound out;
+  const int n = tier.gatekeepers;
+  out.terms.push_back(
+      {"shares rounded up to whole requests", "n × the largest request", n * plan.most_units});
+  if (n == 1) return out;
+  const auto answer = Time(std::chrono::milliseconds(60));
+  const double asks = 1 / std::max(1e-3, (1 - tier.loss) * (1 - tier.loss));
+  out.terms.push_back(
+      {"even shares while a keeper is asked", "burst, once for a set new to the customer", plan.burst});
+  out.terms.push_back({"borrowed while an answer is due", "rate × 60 ms × tries by loss",
+                       units_in(plan.rate, answer) * asks});
+  out.terms.push_back({"stale grants", "rate × 0.5 s", units_in(plan.rate, std::chrono::milliseconds(500))});
+  if (tier.restarts_per_minute > 0)
+    out.terms.push_back({"a keeper that has forgotten",
+                         "burst for each restart of its keeper in a window of 1 min",
+                         plan.burst * tier.restarts_per_minute / n});
+  if (tier.splits_per_minute > 0)
+    out.terms.push_back({"two sides of a split", "rate × 10 s + burst each",
+                         tier.splits_per_minute * (plan.burst + 10 * plan.rate)});
+  return out;
+}
+
+}  // namespace
+
+Bound bound_of(const Tier& tier, const Plan& plan) {
+  auto out = tier.guarded ? guarded(tier, plan) : trusting(tier, plan);
+  for (const auto& term : out.terms) out.units += term.units;
+  return out;
+}
+
+}  // namespace cranemux::ledger
--- /dev/null
+++ b/src/ledger/ledger.h
@@ -0,0 +1,279 @@
+// What is left of a customer's quota, at its keeper: a store that fills at the plan's rate, and what each
+// gatekeeper of the tier has told and may use, by its life. Figures are totals of a life, so whatever is
+// lost, repeated or late counts once. Free of I/O; units are the plan's.
+//
+// Two ways. Trusting, as on the platform: what was used beyond a grant is forgiven past `debt`, since what
+// goes beyond a quota takes nothing from the store there. Guarded: asks count in their order only, and all is
+// paid back.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "ledger/bound.h"
+#include "ledger/rights.h"
+
+namespace cranemux::ledger {
+
+inline double units_in(double rate, Time span) { return rate * static_cast<double>(span.count()) / 1e9; }
+
+struct Ask {
+  std::uint32_t life = 0;    // of the gatekeeper that asks
+  std::uint32_t number = 0;  // of its asks about this customer, counted up; 0 where they are not ordered
+  std::int64_t used = 0;     // in that life
+  double weight = 0;         // of what it holds
+  std::int64_t wanted = 0;   // by what it holds
+};
+
+struct Claim {  // what a keeper knows of one gatekeeper's part in a ledger
+  std::uint32_t life = 0, number = 0;
+  std::int64_t limit = 0;  // units that it may have used in all that life, or attempts out at once
+  std::int64_t used = 0;   // as last told
+  double weight = 0, wanted = 0;
+  Time at{0};
+};
+
+struct Ledger {
+  std::uint32_t customer = 0, plan = 0;  // the plan's number in the settings
+  double rate = 0, burst = 0;            // of the plan
+  double debt = 0;                       // how far below nothing the level may go; 0 or less
+  double level = 0;                      // less what is granted
+  Time filled{0}, opened{0}, heard{0};
+  std::map<int, Claim> claims = {};  // by gatekeeper
+  std::set<std::tuple<int, std::uint32_t, std::uint64_t>> hands =
+      {};  // taken over: from whom, its epoch, the number
+
+  // `part`: of the store, where the rest is others' to give.
+  void fill(Time now, double part = 1) {
+    if (level < burst * part)
+      level = std::min(burst * part, level + units_in(rate * part, now - filled));
+    else
+      level = std::min(level, burst * part);
+    filled = now;
+  }
+  void take(double units) { level = std::clamp(level - units, debt, burst); }
+
+  // What an ask changes: what was used beyond its limit is taken, what is no longer wanted comes back. False:
+  // it was overtaken by a later one of the same life, and changes nothing.
+  bool merge(int from, const Ask& ask, Time now) {
+    auto [at, first] = claims.try_emplace(from);
+    auto& claim = at->second;
+    const bool known = !first && claim.life == ask.life;
+    if (known && ask.number != 0 && static_cast<std::int32_t>(ask.number - claim.number) < 0) return false;
+    // What an earlier life may still have used stays taken: nobody can say that it has not.
+    if (!known) claim.limit = ask.used;
+    const auto limit = std::max(ask.used, std::min(claim.limit, ask.used + ask.wanted));
+    take(static_cast<double>(limit - claim.limit));
+    claim = {ask.life, ask.number, limit, ask.used, ask.weight, static_cast<double>(ask.wanted), now};
+    return true;
+  }
+};
+
+// The asking side of a guarded quota: what this gatekeeper may use, by grants that may be lost, late or
+// repeated. Between an ask and its answer it uses no more than the keeper will let stand, whatever it is
+// granted meanwhile; and no grant outlives the ask that it answers by more than `life`, so a stalled
+// gatekeeper returns with none.
+class Credit {
+ public:
+  explicit Credit(Time life) : life_(life) {}
+
+  // An ask leaves: returns its number.
+  std::uint32_t ask(std::int64_t used, std::int64_t wanted, Time now) {
+    ++number_;
+    sent_[number_ % kKept] = now;
+    stands_ = used + wanted;
+    limit_ = std::max(used, std::min(limit_, stands_));
+    return number_;
+  }
+  // `number`: of the ask that the keeper has seen last. False: nothing could be made of it.
+  bool granted(std::uint32_t number, std::int64_t limit, Time now) {
+    const auto behind = number_ - number;
+    if (behind >= kKept) return false;
+    const auto until = sent_[number % kKept] + life_;
+    if (until <= now) return false;
+    limit_ = std::max(limit_, behind == 0 ? limit : std::min(limit, stands_));
+    until_ = std::max(until_, until);
+    return true;
+  }
+  bool covers(std::int64_t used, std::int64_t units, Time now) const {
+    return now < until_ && used + units <= limit_;
+  }
+  std::int64_t limit() const { return limit_; }
+  std::uint32_t number() const { return number_; }
+
+ private:
+  static constexpr std::uint32_t kKept = 16;
+  Time life_, until_{-1};
+  Time sent_[kKept] = {};
+  std::uint32_t number_ = 0;
+  std::int64_t limit_ = 0, stands_ = 0;
+};
+
+// A gatekeeper's guaranteed part: what it may use while no keeper with the right can be reached. It is empty
+// at first, fills while it is on only, and is dropped when a keeper is there again.
+class Part {
+ public:
+  void turn(bool on, Time now) {
+    if (on == on_) return;
+    on_ = on;
+    level_ = 0;
+    filled_ = now;
+  }
+  bool on() const { return on_; }
+  double level(double rate, double burst, Time now) const {
+    return on_ ? std::min(burst, level_ + units_in(rate, now - filled_)) : 0;
+  }
+  bool covers(double units, double rate, double burst, Time now) const {
+    return on_ && level(rate, burst, now) >= units;
+  }
+  void spend(double units, double rate, double burst, Time now) {
+    level_ = level(rate, burst, now) - units;
+    filled_ = now;
+  }
+
+ private:
+  bool on_ = false;
+  double level_ = 0;
+  Time filled_{0};
+};
+
+// What a gatekeeper may use of one customer's guarded quota: by grants, or of its part. `rate` and `burst`
+// are the part's.
+struct Spender {
+  Credit credit{kCreditLife};
+  Part part;
+  Time unkept_until{-1};  // its keeper has said that it has no right
+
+  bool covers(std::int64_t used, double units, double rate, double burst, Time now) const {
+    return credit.covers(used, std::llround(units), now) || part.covers(units, rate, burst, now);
+  }
+  // True: by a grant, and so to be told as used; false: of the part.
+  bool spend(std::int64_t used, double units, double rate, double burst, Time now) {
+    if (credit.covers(used, std::llround(units), now)) return true;
+    part.spend(units, rate, burst, now);
+    return false;
+  }
+  void refused(std::uint32_t number, Time now) {
+    if (number == credit.number()) unkept_until = now + kRefusalHolds;
+  }
+  // The part is on while nobody who is reached has the right.
+  void turn(const Rights& rights, std::uint32_t customer, int self, Time now) {
+    const bool kept = rights.keeper(customer) == self ? rights.holds(customer, now) : now >= unkept_until;
+    part.turn(rights.settled(now) && !kept, now);
+  }
+};
+
+// A ledger's level on its way to its keeper: told some times against loss, and taken once.
+struct Hand {
+  std::uint32_t customer = 0, plan = 0;
+  std::uint64_t level = 0, number = 0;  // the level in hundredths of a unit
+  int times = 0;
+  Time due{0};
+};
+
+// The ledgers that this gatekeeper keeps.
+class Ledgers {
+ public:
+  // `rights`: none where quotas are not guarded.
+  explicit Ledgers(const Rights* rights) : rights_(rights) {}
+
+  // May it keep that customer's, now?
+  bool holds(std::uint32_t customer, Time now) const { return !rights_ || rights_->holds(customer, now); }
+  // Opens it where there is none: full, or empty where quotas are guarded, since another may have given all.
+  Ledger& open(const Ledger& fresh, Time now) {
+    auto [at, made] = all_.try_emplace(fresh.customer, fresh);
+    auto& ledger = at->second;
+    if (!made) return ledger;
+    ledger.level = rights_ ? 0 : fresh.burst;
+    if (rights_) ledger.debt = kAllPaidBack;
+    ledger.filled = ledger.opened = ledger.heard = now;
+    return ledger;
+  }
+  // Without the right nothing fills; and what others do not vote this keeper for is theirs to fill.
+  void fill(Ledger& ledger, Time now) const {
+    if (!rights_) return ledger.fill(now);
+    ledger.filled = std::max(ledger.filled, now - kRefusalHolds);  // as after a stall
+    if (!rights_->holds(ledger.customer, now)) {
+      ledger.filled = now;
+      return;
+    }
+    const double missing = rights_->missing(ledger.customer, now);
+    ledger.fill(now, 1.0 - missing / rights_->members());
+  }
+
+  std::map<std::uint32_t, Ledger>& all() { return all_; }
+  const std::map<std::uint32_t, Ledger>& all() const { return all_; }
+
+  // Claims that nothing was heard of for half of `after` go, and full ledgers that nobody asked about for so
+  // long.
+  void forget(Time now, Time after) {
+    for (auto& [customer, ledger] : all_) {
+      std::erase_if(ledger.claims, [&](const auto& c) { return now - c.second.at > after / 2; });
+    }
+    std::erase_if(all_, [&](const auto& item) {
+      const auto& ledger = item.second;
+      return now - ledger.heard > after && (ledger.rate <= 0 || ledger.level >= ledger.burst);
+    });
+  }
+
+  // Ledgers whose keeper is another leave this one, but for those that have only just come to it, since who
+  // gave them will be gone. At a planned end all do.
+  void hand_over(int self, bool ends, Time now) {
+    for (auto at = all_.begin(); at != all_.end();) {
+      auto& ledger = at->second;
+      const bool stays = rights_->keeper(ledger.customer) == self || now - ledger.opened < kStays;
+      if (stays && !ends) {
+        ++at;
+        continue;
+      }
+      if (ends) fill(ledger, now);
+      const auto level = static_cast<std::uint64_t>(std::max(0.0, ledger.level) * kHandSteps);
+      if (ledger.rate > 0 && level > 0) {
+        hands_.push_back({ledger.customer, ledger.plan, level, ++handed_, 0, now});
+      }
+      at = all_.erase(at);
+    }
+  }
+  // What is due is written; three times each.
+  template <typename Write>
+  void hand(int self, Time now, const Write& write) {
+    for (auto& h : hands_) {
+      const int keeper = rights_->heir(h.customer, self);
+      if (now < h.due || keeper < 0) continue;
+      write(keeper, h);
+      ++h.times;
+      h.due = now + kHandAgain;
+    }
+    std::erase_if(hands_, [](const Hand& h) { return h.times >= kHandTimes; });
+  }
+  bool hands() const { return !hands_.empty(); }
+  std::uint64_t handed() const { return handed_; }
+  std::uint64_t taken() const { return taken_; }
+  // True: it was taken for the first time.
+  bool take_over(Ledger& ledger, int from, std::uint32_t epoch, std::uint64_t level, std::uint64_t number,
+                 Time now) {
+    if (!ledger.hands.insert({from, epoch, number}).second) return false;
+    fill(ledger, now);
+    ++taken_;
+    ledger.level = std::min(ledger.burst, ledger.level + static_cast<double>(level) / kHandSteps);
+    return true;
+  }
+
+ private:
+  static constexpr double kAllPaidBack = -1e9, kHandSteps = 100;
+  static constexpr int kHandTimes = 3;
+  static constexpr Time kStays = std::chrono::seconds(3);
+  static constexpr Time kHandAgain = std::chrono::milliseconds(60);
+  const Rights* rights_;
+  std::map<std::uint32_t, Ledger> all_;
+  std::vector<Hand> hands_;
+  std::uint64_t handed_ = 0, taken_ = 0;
+};
+
+}  // namespace cranemux::ledger
--- /dev/null
+++ b/src/ledger/report.cpp
@@ -0,0 +1,57 @@
+#include "ledger/report.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace cranemux::ledger {
+namespace {
+
+double seconds(Time span) { return std::chrono::duration<double>(span).count(); }
+
+const char* words_of(membership::Trouble trouble) {
+  switch (trouble) {
+    case membership::Trouble::few_gone:
+      return "some gatekeepers are gone; their customers' quotas begin empty at other keepers";
+    case membership::Trouble::cut_off:
+      return "this gatekeeper hears none of the others: it is cut off, and gives out its own part only";
+    case membership::Trouble::split:
+      return "the tier seems split: the larger side gives out its share, the smaller its parts";
+    case membership::Trouble::all_new:
+      return "all gatekeepers have begun within seconds: quotas fill from nothing";
+    case membership::Trouble::none:
+      break;
+  }
+  return "all gatekeepers are heard";
+}
+
+}  // namespace
+
+std::string report(const Mail& mail, const Ledgers& ledgers, std::size_t on_parts, Time now) {
+  std::ostringstream out;
+  out.precision(1);
+  out << std::fixed;
+  const auto& members = *mail.members();
+  const auto& rights = *mail.rights();
+  for (int m = 0; m < members.size(); ++m) {
+    const auto& member = members.member(m);
+    out << "member " << m;
+    if (m == members.self()) {
+      out << " this one, for " << seconds(now - members.began()) << " s"
+          << (rights.settled(now) ? "" : ", votes for nobody yet") << '\n';
+      continue;
+    }
+    out << ' ' << membership::kStateNames[static_cast<std::size_t>(member.state)] << " for "
+        << seconds(now - member.since) << " s, in " << member.lives << " lives"
+        << (rights.gone(m) ? ", not heard: its ledgers are kept by others" : "") << '\n';
+  }
+  out << "tier: " << words_of(members.trouble(now)) << '\n';
+  const auto& all = ledgers.all();
+  const auto held =
+      std::count_if(all.begin(), all.end(), [&](const auto& item) { return ledgers.holds(item.first, now); });
+  out << "ledgers " << all.size() << ", with the right to keep " << held << ", handed over "
+      << ledgers.handed() << ", taken over " << ledgers.taken() << '\n';
+  out << "customers on this gatekeeper's part " << on_parts << '\n';
+  return out.str();
+}
+
+}  // namespace cranemux::ledger
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -47,6 +47,24 @@
   explaining->callback([&asked, &run] { run = [&asked] { return explain_route(asked); }; });
 }
 
+void add_quota_bound(CLI::App& app, QuotaBoundCommand& command, Run& run) {
+  auto* bounding =
+      app.add_subcommand("quota-bound", "Say how far beyond its quota a customer can get, term by term");
+  bounding->add_option("file", command.file, "The file that serve --config is given")->required();
+  bounding->add_option("--gatekeepers", command.gatekeepers, "Of the tier; else as the file has it")
+      ->check(CLI::Range(1, 1000));
+  bounding->add_option("--loss", command.loss, "Of a message, 0 to 1")->check(CLI::Range(0.0, 0.9));
+  bounding->add_option("--delay-ms", command.delay_ms, "Of a message, mostly")
+      ->check(CLI::Range(0.0, 10'000.0));
+  bounding->add_option("--restarts-per-minute", command.restarts, "Of single gatekeepers")
+      ->check(CLI::Range(0.0, 1e4));
+  bounding->add_option("--splits-per-minute", command.splits)->check(CLI::Range(0.0, 1e4));
+  bounding->add_option("--window-s", command.window_s, "Share of what the quota allows in that time")
+      ->check(CLI::Range(0.001, 1e6));
+  bounding->add_flag("--json", command.as_json, "One JSON object");
+  bounding->callback([&command, &run] { run = [&command] { return quota_bound(command); }; });
+}
+
 void add_graphql(CLI::App& app, GraphqlCommand& command, Run& run) {
   auto* graphql = app.add_subcommand("graphql", "Schemas, documents and costs, without a gatekeeper");
   graphql->require_subcommand(1);
@@ -78,11 +96,13 @@
   CheckCommand checking;
   RouteCommand asked;
   GraphqlCommand graphql;
+  QuotaBoundCommand bounding;
   std::string socket, command;
   add_serve(app, serving, run);
   add_check(app, checking, run);
   add_route(app, asked, run);
   add_graphql(app, graphql, run);
+  add_quota_bound(app, bounding, run);
   auto* talking =
       app.add_subcommand("console", "Talk to a running gatekeeper; commands from the terminal or --run");
   talking->add_option("--socket", socket, "The path that serve --console was given")->required();
--- a/testing/rules.cpp
+++ b/testing/rules.cpp
@@ -83,11 +83,13 @@
   return out;
 }
 
-double Rules::units_begun() const {
+double Rules::units_begun(const std::string& customer) const {
   std::set<std::string> counted;
   double units = 0;
   for (const auto& begin : begins_) {
-    if (counted.insert(begin.id).second) units += asks_.at(begin.id).units;
+    const auto& ask = asks_.at(begin.id);
+    if (!customer.empty() && ask.customer != customer) continue;
+    if (counted.insert(begin.id).second) units += ask.units;
   }
   return units;
 }
@@ -111,4 +113,74 @@
   return beyond;
 }
 
+std::vector<Rules::Spent> Rules::spent_by(const std::string& customer) const {
+  std::set<std::string> counted;
+  std::vector<Spent> out;
+  for (const auto& begin : begins_) {
+    const auto& ask = asks_.at(begin.id);
+    if (ask.customer == customer && counted.insert(begin.id).second) out.push_back({begin.at, ask.units});
+  }
+  return out;
+}
+
+namespace {
+double seconds_between(Rules::Time from, Rules::Time until) {
+  return std::chrono::duration<double>(until - from).count();
+}
+}  // namespace
+
+double Rules::worst_window(const std::string& customer, double rate, double burst, Span least) const {
+  const auto spent = spent_by(customer);
+  const double shortest = std::chrono::duration<double>(least).count();
+  double worst = 0;
+  for (std::size_t i = 0; i < spent.size(); ++i) {
+    double units = 0;
+    for (std::size_t j = i; j < spent.size(); ++j) {
+      units += spent[j].units;
+      const double time = std::max(shortest, seconds_between(spent[i].at, spent[j].at));
+      worst = std::max(worst, units / (rate * time + burst));
+    }
+  }
+  return worst;
+}
+
+double Rules::most_beyond(const std::string& customer, double rate, double burst) const {
+  // Of all windows that end here, the one that is furthest beyond (J. Kadane's running sum).
+  double worst = 0, running = 0;
+  std::optional<Time> before;
+  for (const auto& one : spent_by(customer)) {
+    if (before) running = std::max(0.0, running - rate * seconds_between(*before, one.at));
+    before = one.at;
+    running += one.units;
+    worst = std::max(worst, running - burst);
+  }
+  return worst;
+}
+
+std::pair<std::size_t, std::size_t> Rules::refused_with_room(const std::string& customer, double rate,
+                                                             double burst) const {
+  const auto spent = spent_by(customer);
+  std::size_t refused = 0, tries = 0;
+  for (const auto& [id, ask] : asks_) {
+    if (ask.customer != customer) continue;
+    ++tries;
+    if (ask.answers.empty() || (ask.answers.front().first != 429 && ask.answers.front().first != 503))
+      continue;
+    double store = burst;
+    std::optional<Time> before;
+    const auto fill = [&](Time until) {
+      if (before) store = std::min(burst, store + rate * seconds_between(*before, until));
+      before = until;
+    };
+    for (const auto& one : spent) {
+      if (one.at > ask.at) break;
+      fill(one.at);
+      store = std::max(0.0, store - one.units);
+    }
+    if (before) fill(ask.at);
+    refused += store >= std::max(ask.units, burst / 2);
+  }
+  return {refused, tries};
+}
+
 }  // namespace cranemux::testing
--- a/testing/rules.h
+++ b/testing/rules.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cranemux::testing {
@@ -35,7 +36,17 @@
   std::vector<std::string> broken(Span slack = std::chrono::milliseconds(250)) const;
   // Units sent on of a customer beyond what a store of that rate and burst allows in any stretch of time.
   double beyond_quota(const std::string& customer, double rate, double burst) const;
-  double units_begun() const;  // of all requests that were sent on, each once
+  // The units sent on in the worst window of `least` and longer, as a multiple of what a store of that rate
+  // and burst allows in it: 1 is the quota.
+  double worst_window(const std::string& customer, double rate, double burst, Span least) const;
+  // Units beyond rate × time + burst in the worst window of any length.
+  double most_beyond(const std::string& customer, double rate, double burst) const;
+  // Tries turned away although a store that saw all that was sent on held half of its burst, and their units;
+  // and all tries of that customer.
+  std::pair<std::size_t, std::size_t> refused_with_room(const std::string& customer, double rate,
+                                                        double burst) const;
+  double units_begun(const std::string& customer = {})
+      const;  // of all requests that were sent on, each once; or of one customer's
   std::size_t asked_count() const { return asks_.size(); }
   std::size_t answers(int status) const;
   std::size_t runs(const std::string& id) const;
@@ -59,6 +70,12 @@
     Time from, until;
   };
 
+  struct Spent {
+    Time at;
+    double units;
+  };
+  std::vector<Spent> spent_by(const std::string& customer) const;  // each try once, in the order of time
+
   std::map<std::string, Ask> asks_;
   std::vector<Begin> begins_;
   std::vector<std::function<void(const std::string&)>> looks_;
--- /dev/null
+++ b/testing/tier.h
@@ -0,0 +1,73 @@
+// Several gatekeepers of the program over a relay, with stand-in nodes that count and senders of every kind:
+// a tier to stop, cut and restart while the rules look on.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "testing/relay.h"
+#include "testing/rig.h"
+
+namespace cranemux::testing {
+
+struct Sender {
+  std::string name;
+  double rate = 10, burst = 20;  // of its plan
+  double asks = 5;               // units a second
+  std::string plan() const { return "p" + name.substr(14); }
+  // Which gatekeeper its next request goes to; none: any.
+  std::function<int()> to = {};
+  double owed = 0;  // of the next request
+};
+
+class Tier {
+ public:
+  Tier(std::string binary, int gatekeepers, std::uint64_t seed);
+
+  Sender& sender(double rate, double burst, double asks);  // before the start
+  std::string quotas = "guarded";                          // the file's tier.quotas
+  std::string more;  // of the file's tier: further keys, each with `, ` before it
+  double messages_per_s = 200;
+  void start();  // all, and waits until they listen
+  void start(int gatekeeper);
+  void kill(int gatekeeper);
+  void signal(int gatekeeper, int number) { at(gatekeeper).program->signal(number); }
+  bool alive(int gatekeeper) { return at(gatekeeper).program && at(gatekeeper).program->alive(); }
+  std::string console(int gatekeeper, const std::string& command) {
+    return testing::console(path(gatekeeper, "console"), command);
+  }
+  std::string path(int gatekeeper, const std::string& name) const {
+    return folder.path(name + std::to_string(gatekeeper));
+  }
+  // All senders ask at their pace; `step` is called every 10 ms with the time since the start of this
+  // stretch.
+  void play(milliseconds time, const std::function<void(milliseconds)>& step = {});
+  void finish();  // until all that was sent has ended, or 5 s
+
+  Stage stage;
+  Rules rules;
+  Folder folder;
+  std::unique_ptr<Relay> relay;
+  std::vector<std::unique_ptr<Sender>> senders;
+  std::mt19937_64 random;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::size_t asked = 0, refused = 0, served = 0, failed = 0;
+
+ private:
+  struct Gatekeeper {
+    int port = 0, mail_port = 0;
+    std::unique_ptr<Program> program;
+    std::unique_ptr<Client> client;
+  };
+  Gatekeeper& at(int i) { return gatekeepers_[static_cast<std::size_t>(i)]; }
+  std::string file_of(int gatekeeper) const;
+  void ask(Sender& sender);
+
+  const std::string binary_;
+  std::vector<Gatekeeper> gatekeepers_;
+};
+
+}  // namespace cranemux::testing
