Choose a customer's keeper out of its own set, so that a part of its questions need no mail

The keeper was any gatekeeper of the tier, by the customer's hash: with n gatekeepers only one question in n stayed on the machine, the others took two messages of a bounded budget, and a restart anywhere emptied ledgers of customers that never came there. Now it is one of the set that the request names, and the next of the set stand in. Guarded quotas still take the whole tier by rendezvous: what a client says of its set is not relied upon there.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -80,11 +80,11 @@
 struct Account {                       // one customer, as each of its gateways sees it
   const PlanSettings* plan = nullptr;  // unknown until its first request here
   std::uint32_t hash = 0;
-  int spread = 1;
-  double level = 0;    // D: units left, as last told, filled and less own use
-  double sure = 0;     // D by the last word of it, less own use since: what may be borrowed
-  double left = 0;     // D as told, with what is granted here: for those who ask what they may yet use
-  double ceiling = 0;  // own part of the hard ceiling
+  int first = 0, spread = 1;  // its set
+  double level = 0;           // D: units left, as last told, filled and less own use
+  double sure = 0;            // D by the last word of it, less own use since: what may be borrowed
+  double left = 0;            // D as told, with what is granted here: for those who ask what they may yet use
+  double ceiling = 0;         // own part of the hard ceiling
   Nanos filled = 0;
   std::int64_t total = 0;          // own units sent in this life
   std::int64_t limit = 0;          // credits: units in all (or attempts out at once) that may be used
@@ -217,6 +217,7 @@
     }
     if (!a.plan) return;  // a plan that the settings do not name has no quota: refused
     a.hash = ledger::hash_of(request.customer);
+    a.first = std::clamp(request.first, 0, s_.gateways - 1);
     a.spread = std::clamp(request.spread, 1, s_.gateways);
     a.filled = started_at_;
     if (s_.guarded) return;
@@ -451,13 +452,15 @@
   // The split of a customer's D is made by one gateway for all, its keeper, named by its hash: it is told
   // what is held and used, splits D among those that hold, and grants the credits. For all to hear all, as
   // the paper has it, is more than peers take in; and over many gateways an even share is under one credit
-  // and would be stranded. The next gateways by number stand in for a keeper that does not answer. Figures
-  // are totals of a life, so loss, repeats and stale messages mend themselves.
+  // and would be stranded. It is of the customer's own set, so a part of its requests needs no mail; the next
+  // of the set stand in where it does not answer. Figures are totals of a life: loss and repeats mend
+  // themselves.
 
   int keeper_of(const Account& a) const {
     if (s_.guarded) return rights().keeper(a.hash);
-    for (int rank = 0; rank < kKeepers; ++rank) {
-      const int g = static_cast<int>((a.hash + static_cast<unsigned>(rank)) % shunned_until_.size());
+    for (int rank = 0; rank < std::min(kKeepers, a.spread); ++rank) {
+      const auto place = (a.hash + static_cast<unsigned>(rank)) % static_cast<unsigned>(a.spread);
+      const int g = static_cast<int>((static_cast<unsigned>(a.first) + place) % shunned_until_.size());
       if (now_ >= shunned_until_[static_cast<std::size_t>(g)]) return g;
     }
     return -1;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -215,6 +215,7 @@
   settled.run(settled.now + 2800 * kMs);
   for (Door* door : {&fresh, &older, &settled}) {
     auto r = door->request("r", "rate");
+    r.first = 1;  // its keeper is another
     r.spread = 2;
     door->feed({r});
     door->run(door->now + 100 * kMs);
@@ -224,6 +225,26 @@
   EXPECT_EQ(settled.sends.size(), 1U);
 }
 
+// Keepers used to be any of the tier: of 140 gateways none of a customer's own, so every question needed
+// mail.
+TEST(Ledger, AKeeperIsOfTheCustomersOwnSet) {
+  auto s = base_settings();
+  s.gateways = 140;
+  Door door(s);
+  for (int i = 0; i < 40; ++i) {
+    auto r = door.request("r" + std::to_string(i), "rate");
+    r.customer = "c" + std::to_string(i);
+    r.first = 139;
+    r.spread = 3;  // 139, 0, 1
+    door.feed({r});
+    door.run(door.now + 20 * kMs);
+  }
+  std::set<int> asked;
+  for (const auto& told : door.told) asked.insert(told.to);
+  EXPECT_EQ(asked, (std::set<int>{1, 139}));
+  EXPECT_FALSE(door.sends.empty());  // those that it keeps itself
+}
+
 // Of D only what a keeper has told is borrowed: with what fills since, each gateway of a set lent the same
 // units to itself, again and again (big-2, a hot key: 0.97 to 0.94 in the simulator).
 TEST(Ledger, WhatAllGatewaysFillTogetherIsBorrowedOnce) {
@@ -234,6 +255,7 @@
   door.run(door.now + 1200 * kMs);  // heard of nobody, but not alone yet
   for (int i = 0; i < 80; ++i) {
     auto r = door.request("r" + std::to_string(i), "rate", "book");
+    r.first = 1;  // its keeper is another
     r.spread = 4;
     door.feed({r});
     while (door.done < door.sends.size()) {
