Drop what nothing calls in membership and rights, and ask once whether a ledger may be shared out

From a rereading of the guarded quotas: an accessor, a table of names and a result that nobody used, and a check of whether quotas are guarded beside one that holds where they are not.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -545,7 +545,7 @@
   // gives too much is taken off again, one request each from the lowest draws. `asker` is answered anyway.
   void share_out(Ledger& ledger, int asker) {
     ledgers().fill(ledger, time());
-    if (s_.guarded && !ledgers().holds(ledger.customer, time())) return;
+    if (!ledgers().holds(ledger.customer, time())) return;
     const auto& plan = plans_[ledger.plan];
     struct Share {
       std::uint64_t draw;
--- a/src/ledger/rights.h
+++ b/src/ledger/rights.h
@@ -70,7 +70,6 @@
   int members() const { return members_; }
   // Starts of a member that have been heard here, also where two drew the same number.
   std::uint32_t epoch(int member) const { return others_[static_cast<std::size_t>(member)].epoch; }
-  Time heard_at(int member) const { return others_[static_cast<std::size_t>(member)].heard; }
   View view() const { return view_; }
   // All that later behaviour depends on, with times as far from now as still matters: two with equal pictures
   // behave alike. For searches over states.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -286,21 +286,20 @@
   heard(from, now);
 }
 
-bool Membership::news_of(int index, State state, std::uint8_t incarnation, const Life& life, Time now) {
+void Membership::news_of(int index, State state, std::uint8_t incarnation, const Life& life, Time now) {
   if (index == settings_.self) {
     // Rumours of this life are refuted; those of an earlier one are true.
     const bool mine = life.number == settings_.life && !later_life(life, {settings_.life, began_});
-    if (state == State::alive || !mine) return false;
+    if (state == State::alive || !mine) return;
     if (incarnation == incarnation_ || newer(incarnation, incarnation_)) {
       incarnation_ = static_cast<std::uint8_t>((incarnation + 1) % kIncarnations);
       ++counts_.refuted;
       members_[static_cast<std::size_t>(index)].incarnation = incarnation_;
       spread(index);
     }
-    return true;
+    return;
   }
   apply(index, state, incarnation, life, now);
-  return true;
 }
 
 // SWIM, 4.2: of one life the later incarnation wins, of one incarnation the worse news; a later life beats
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -40,7 +40,6 @@
 
 // What seems to be the matter, by all that is known here.
 enum class Trouble : std::uint8_t { none, few_gone, cut_off, split, all_new };
-constexpr const char* kTroubleNames[] = {"none", "few gone", "cut off", "split", "all new"};
 
 class Membership {
  public:
@@ -95,7 +94,7 @@
 
   std::string trailer(std::size_t room, Kind kind, int member, int asker, std::uint32_t number, Time now);
   void proved(int from, const Life& life, std::uint8_t incarnation, Time now);
-  bool news_of(int index, State state, std::uint8_t incarnation, const Life& life, Time now);
+  void news_of(int index, State state, std::uint8_t incarnation, const Life& life, Time now);
   void apply(int index, State state, std::uint8_t incarnation, const Life& life, Time now);
   void act_on(int from, Kind kind, int member, int asker, std::uint32_t number, Time now);
   void set(int index, State state, Time now);
