--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -218,6 +218,8 @@
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions);
   // None: nothing is known of it here, or its plan has no rate.
   std::optional<Allowance> allowance(Nanos now, const std::string& customer) const;
+  // Servers in the list that it would send nothing now, since they drain or have failed.
+  std::size_t avoided(Nanos now) const;
   // Members of the tier and ledgers, in words, a line each; empty where quotas are not guarded.
   std::string guard_report(Nanos now) const;
 
--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -240,6 +240,7 @@
   std::size_t count = 0;
   std::tie(error, count) = co_await net::asio::async_write(socket, net::asio::buffer(message), net::kResult);
   call.written = count == message.size();
+  if (call.written) core_.attempt_written(call.rpc);
   http::Message answer;
   http::Verdict verdict;
   std::size_t before = 0;  // bytes of 1xx answers, which come before the answer
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,6 +14,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "ledger/account.h"
 #include "ledger/ledger.h"
 #include "ledger/report.h"
 
@@ -77,25 +78,7 @@
 
 // ---- records ------------------------------------------------------------------------------------
 
-struct Account {                       // one customer, as each of its gateways sees it
-  const PlanSettings* plan = nullptr;  // unknown until its first request here
-  std::uint32_t hash = 0;
-  int first = 0, spread = 1;  // its set
-  double level = 0;           // D: units left, as last told, filled and less own use
-  double sure = 0;            // D by the last word of it, less own use since: what may be borrowed
-  double left = 0;            // D as told, with what is granted here: for those who ask what they may yet use
-  double ceiling = 0;         // own part of the hard ceiling
-  Nanos filled = 0;
-  std::int64_t total = 0;          // own units sent in this life
-  std::int64_t limit = 0;          // credits: units in all (or attempts out at once) that may be used
-  Nanos asked = -1, answered = 0;  // the last question to a keeper, and its answer
-  int misses = 0;                  // questions since then that nobody answered
-  int held = 0, open = 0;
-  double held_weight = 0, held_units = 0, asked_units = 0;
-  bool news = false;        // what its keeper assumes of it has changed
-  ledger::Spender spender;  // where quotas are guarded: what stands in for `limit`
-};
-
+using ledger::Account;
 using ledger::Ledger;  // of a customer whose keeper this gateway is
 
 struct Server {
@@ -163,6 +146,13 @@
     return Allowance{std::min(a.plan->burst, a.left + since), a.plan->burst, a.plan->rate};
   }
 
+  std::size_t avoided(Nanos now) const {
+    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const Server& s) {
+      return s.entry.state == ServerState::draining ||
+             (s.entry.state == ServerState::running && s.ejected_until > now);
+    }));
+  }
+
   std::string guard_report(Nanos now) const {
     if (!s_.guarded || !books_->mail) return {};
     const auto on = std::count_if(accounts_.begin(), accounts_.end(),
@@ -1036,6 +1026,7 @@
 std::optional<Allowance> Brain::allowance(Nanos now, const std::string& customer) const {
   return impl_->allowance(now, customer);
 }
+std::size_t Brain::avoided(Nanos now) const { return impl_->avoided(now); }
 std::string Brain::guard_report(Nanos now) const { return impl_->guard_report(now); }
 void Brain::step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
   impl_->step(now, events, actions);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -85,7 +85,7 @@
   net::asio::signal_set asks(io, SIGUSR1, SIGHUP);
   std::function<void(const boost::system::error_code&, int)> asked = [&](const auto& error, int signal) {
     if (error) return;
-    if (signal == SIGUSR1) std::cerr << gatekeeper->counters() << std::flush;
+    if (signal == SIGUSR1) std::cerr << gatekeeper->counters() << gatekeeper->figures() << std::flush;
     if (signal == SIGHUP) reload(aside, *gatekeeper, files);
     asks.async_wait(asked);
   };
@@ -93,7 +93,7 @@
   net::spawn(io, logger, "log", flush_log(logger));
   gatekeeper->start();
   io.run();
-  std::cerr << gatekeeper->counters() << std::flush;
+  std::cerr << gatekeeper->counters() << gatekeeper->figures() << std::flush;
   return 0;
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -136,6 +136,9 @@
   if (const auto* at = root.find("peer_listen"); at && at->string()) {
     config.peer_listen = parse_address(*at->string(), "peer_listen");
   }
+  if (const auto* at = root.find("management"); at && at->string()) {
+    config.management = parse_address(*at->string(), "management");
+  }
   if (const auto* peers = root.find("peers"); peers && peers->array()) {
     for (const auto& peer : *peers->array()) {
       if (!peer.string()) throw Error("peers: must hold address:port texts");
@@ -190,6 +193,17 @@
   auto config = parse(read_file(*path, "ROUTER_CONFIG"));
   if (const auto name = environment("ROUTER_NAME")) config.name = *name;
   if (const auto at = environment("ROUTER_LISTEN")) config.listen = parse_address(*at, "ROUTER_LISTEN");
+  if (const auto at = environment("ROUTER_MANAGEMENT")) {
+    config.management = parse_address(*at, "ROUTER_MANAGEMENT");
+  }
+  if (const auto fd = environment("ROUTER_SOCKET_FD")) {
+    try {
+      config.socket_fd = cranemux::config::parse_number<int>(*fd, "ROUTER_SOCKET_FD");
+    } catch (const cranemux::config::ParseError&) {
+      throw Error("ROUTER_SOCKET_FD: must be a number");
+    }
+    if (*config.socket_fd < 3) throw Error("ROUTER_SOCKET_FD: must be 3 or more");
+  }
   return config;
 }
 
@@ -214,6 +228,7 @@
   settings.seed = running.settings.seed;
   check(running.name == file.name, "name");
   check(running.listen == file.listen, "listen");
+  check(running.management == file.management, "management");
   check(running.peer_listen == file.peer_listen, "peer_listen");
   check(running.peers == file.peers, "peers");
   check(running.sockets == file.sockets, "limits.sockets");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -43,6 +43,8 @@
 struct Config {
   std::string name;
   Address listen, discovery;
+  std::optional<Address> management;  // where operators call
+  std::optional<int> socket_fd;       // of the inherited listening socket, where there is one
   std::optional<Address> peer_listen;
   std::vector<Address> peers;
   std::size_t sockets = 1024, memory_mb = 192;
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -23,8 +23,8 @@
   Services read(const std::string& file) {
     const auto& root = yaml_.root();
     if (yaml_.map(root, "",
-                  {"name", "seed", "limits", "tier", "classes", "plans", "listeners", "pools", "routes",
-                   "answers"})) {
+                  {"name", "seed", "management", "limits", "tier", "classes", "plans", "listeners", "pools",
+                   "routes", "answers"})) {
       common(root);
       limits(root["limits"]);
       tier(root["tier"]);
@@ -53,6 +53,10 @@
       settings_.load_in_answers = true;
       settings_.drain_grace = nanoseconds(std::chrono::seconds(1)).count();
     }
+    if (base_) out_.management = base_->management;
+    if (const auto at = yaml_.text(root, "management", ""); !at.empty()) {
+      out_.management = address(root["management"], "management", at);
+    }
     const auto seed = yaml_.text(root, "seed", "");
     if (!seed.empty()) settings_.seed = std::hash<std::string>{}(seed);
     load_fields_ = base_ ? base_->load_fields : std::vector<std::string>{"outstanding"};
@@ -454,6 +458,9 @@
   std::optional<Config> base;
   if (environment("ROUTER_CONFIG")) base = load(environment);
   auto services = parse_services(read_file(file, "--config"), file, base);
+  if (const auto at = environment("ROUTER_MANAGEMENT")) {
+    services.management = parse_address(*at, "ROUTER_MANAGEMENT");
+  }
   // Further files stand beside this one.
   for (auto& listener : services.listeners) {
     if (listener.graphql_file.empty()) continue;
--- a/src/config/services.h
+++ b/src/config/services.h
@@ -41,6 +41,7 @@
 struct Services {
   std::string name;
   std::size_t sockets = 1024, memory_mb = 192;
+  std::optional<Address> management;  // where operators call
   std::optional<Address> peer_listen;
   std::vector<Address> peers;
   double peer_messages_per_s = 0;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -26,7 +26,9 @@
     : settings_(settings),
       logger_(logger),
       counters_(counters),
-      brain_(shares ? cranemux::Brain(settings, shares->brain_) : cranemux::Brain(settings)) {}
+      brain_(shares ? cranemux::Brain(settings, shares->brain_) : cranemux::Brain(settings)) {
+  for (const auto& c : settings_.classes) counters_.lanes[c.name];  // each is told of from the first, at 0
+}
 
 void Core::connect(CallAttempts& attempts, Peers& peers, Host& host) {
   attempts_ = &attempts;
@@ -74,6 +76,7 @@
   ++unanswered_;
   Rpc rpc;
   rpc.unsafe = unsafe_class(terms.klass);
+  rpc.lane = &counters_.lanes[terms.klass];
   rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, terms.budget - kGuard);
   rpc.payload = std::move(payload);
   rpc.channel = std::move(channel);
@@ -111,6 +114,14 @@
   drop_if_over(id);
 }
 
+std::size_t Core::avoided() const {
+  return brain_.avoided(std::chrono::duration_cast<nanoseconds>(Clock::now().time_since_epoch()).count());
+}
+
+void Core::attempt_written(RpcId id) {
+  if (const auto at = rpcs_.find(id); at != rpcs_.end()) ++at->second.lane->upstream;
+}
+
 void Core::attempt_ended(RpcId id, int attempt, AttemptResult&& result) {
   using cranemux::Result;
   count(result.result);
@@ -185,9 +196,9 @@
 }
 
 void Core::finish(RpcId id, Rpc& rpc, FinalAnswer&& answer) {
-  if (answer.ending == Ending::served) ++counters_.rpcs_served;
-  if (answer.ending == Ending::unavailable) ++counters_.rpcs_unavailable;
-  if (answer.ending == Ending::failed) ++counters_.rpcs_failed;
+  if (answer.ending == Ending::served) ++counters_.rpcs_served, ++rpc.lane->completed;
+  if (answer.ending == Ending::unavailable) ++counters_.rpcs_unavailable, ++rpc.lane->rejected;
+  if (answer.ending == Ending::failed) ++counters_.rpcs_failed, ++rpc.lane->failed;
   if (answer.ending == Ending::unavailable) {
     answer.out = rpc.out;
     answer.left = rpc.guard - Clock::now();
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -105,7 +105,8 @@
   std::string guard_report() const;  // see Brain
 
   RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
-  void abandoned(RpcId rpc);  // its client has gone
+  void abandoned(RpcId rpc);        // its client has gone
+  void attempt_written(RpcId rpc);  // its last byte has gone to the worker
   void attempt_ended(RpcId rpc, int attempt, AttemptResult&& result);
   void resolved(cranemux::ServerList&& list);
   void peer_said(int from, std::string bytes);
@@ -115,6 +116,7 @@
   void forget_all() { rpcs_.clear(); }  // at the process's end: what is left has no answer
 
   std::size_t in_flight() const { return unanswered_; }
+  std::size_t avoided() const;                        // workers in the list that the module sends nothing now
   std::size_t known() const { return rpcs_.size(); }  // with those answered whose call attempt is still out
   // What customers have asked for, and units sent on, for the console; the last ones only where they are
   // many.
@@ -132,6 +134,7 @@
     std::shared_ptr<const Payload> payload;
     std::shared_ptr<Channel> channel;  // none once answered
     Clock::time_point guard;           // answered by the core itself by then
+    metrics::Lane* lane = nullptr;     // of its class
     int attempts = 0;
     bool out = false, unsafe = false, may_have_run = false, gone = false;
   };
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "front/fields.h"
+
 namespace cranemux::front {
 namespace {
 
@@ -98,7 +100,9 @@
     since_ = net::Clock::now();
     body_ = message.body.size();
     Handled handled;
-    if (body_ > 0 && server_.bytes_ > server_.limits_.bytes) {
+    if (is_health(message.target)) {
+      handled.reply = health(message.target);
+    } else if (body_ > 0 && server_.bytes_ > server_.limits_.bytes) {
       ++server_.counters_.requests_no_memory;
       handled.reply = server_.front_.malformed(503);
     } else {
@@ -121,6 +125,12 @@
   processing_ = false;
 }
 
+// Whether this process runs, and whether clients should come: the lifecycle alone says the latter.
+Reply HttpChannel::health(std::string_view target) const {
+  if (target != kReady || server_.lifecycle_.ready()) return {200, "ok\n", {}, "text/plain"};
+  return {503, std::string(lifecycle::name_of(server_.lifecycle_.stage())) + "\n", {}, "text/plain"};
+}
+
 void HttpChannel::answer(core::RpcId, core::FinalAnswer&& answer) {
   rpc_ = 0;
   waits_ = false;
@@ -134,7 +144,7 @@
 }
 
 void HttpChannel::reply(const Reply& reply) {
-  if (server_.draining_) last_ = true;
+  if (server_.lifecycle_.last_answer(net::Clock::now())) last_ = true;
   out_ = "HTTP/1.1 " + std::to_string(reply.status) + ' ';
   out_ += http::reason(reply.status);
   out_ += "\r\nContent-Type: ";
@@ -323,8 +333,8 @@
   return true;
 }
 
-ChannelServer::ChannelServer(net::asio::io_context& io, const config::Address& listen,
-                             const ChannelLimits& limits, Front& front, metrics::Logger& logger,
+ChannelServer::ChannelServer(net::asio::io_context& io, const Door& door, const ChannelLimits& limits,
+                             Front& front, const lifecycle::Lifecycle& lifecycle, metrics::Logger& logger,
                              metrics::Counters& counters)
     : io_(io),
       acceptor_(io),
@@ -332,16 +342,32 @@
       sweeper_(io),
       limits_(limits),
       front_(front),
+      lifecycle_(lifecycle),
       logger_(logger),
       counters_(counters),
       idle_budget_(limits.sockets) {
-  const auto at = net::endpoint<net::tcp>(listen);
+  if (door.inherited) {
+    inherit(*door.inherited);
+    return;
+  }
+  const auto at = net::endpoint<net::tcp>(door.listen);
   acceptor_.open(at.protocol());
   acceptor_.set_option(net::tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen(1024);
 }
 
+// Others hold the same socket: it is never shut down, only closed here.
+void ChannelServer::inherit(int fd) {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0) {
+    throw config::Error("ROUTER_SOCKET_FD: " + std::to_string(fd) + " is no socket that listens");
+  }
+  acceptor_.assign(net::tcp::v4(), fd);
+  acceptor_.non_blocking(true);
+}
+
 // Channels may outlive the server in coroutines that are never resumed.
 ChannelServer::~ChannelServer() {
   for (auto* channel : channels()) channel->cut();
@@ -398,6 +424,7 @@
     sweeper_.expires_after(kSweep);
     if (const auto [error] = co_await sweeper_.async_wait(net::kResult); error) co_return;
     const auto now = net::Clock::now();
+    if (lifecycle_.closes_idle(now)) drain();
     const bool crowded = channels_.size() > limits_.channels / 2;
     for (auto* channel : channels()) {
       // None of those that follow is gone: only what times out itself leaves.
@@ -430,7 +457,6 @@
 }
 
 void ChannelServer::drain() {
-  draining_ = true;
   for (auto* channel : channels()) channel->drain();
 }
 
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -14,6 +14,7 @@
 #include "core/core.h"
 #include "front/channel_policy.h"
 #include "http/http.h"
+#include "lifecycle/lifecycle.h"
 #include "net/net.h"
 
 namespace cranemux::front {
@@ -64,6 +65,7 @@
 
  private:
   void process();
+  Reply health(std::string_view target) const;
   void reply(const Reply& reply);
   void write();
   net::awaitable<void> write_rest(std::shared_ptr<HttpChannel> self);
@@ -122,6 +124,12 @@
   virtual std::string class_of(const http::Message& message) const = 0;
 };
 
+// Where clients come: an address to listen on, or a socket that listens already and was inherited.
+struct Door {
+  config::Address listen;
+  std::optional<int> inherited = {};
+};
+
 struct ChannelLimits {
   std::size_t sockets = 1024;  // descriptors of the whole process
   std::size_t channels = 600;
@@ -130,16 +138,18 @@
 
 class ChannelServer {
  public:
-  ChannelServer(net::asio::io_context& io, const config::Address& listen, const ChannelLimits& limits,
-                Front& front, metrics::Logger& logger, metrics::Counters& counters);
+  ChannelServer(net::asio::io_context& io, const Door& door, const ChannelLimits& limits, Front& front,
+                const lifecycle::Lifecycle& lifecycle, metrics::Logger& logger, metrics::Counters& counters);
   ~ChannelServer();
   void start();
-  void drain();  // answers what is taken, closes channels between requests; still accepts
+  void drain();  // closes channels between requests, and lets streams end; still accepts
   void stop();   // accepts no more
   bool idle() const { return channels_.empty(); }
+  std::size_t busy() const { return busy_; }  // channels with a request that is taken and not yet ended
 
  private:
   friend class HttpChannel;
+  void inherit(int fd);
   net::awaitable<void> accept();
   net::awaitable<void> sweep();
   bool make_room();
@@ -153,6 +163,7 @@
   net::asio::steady_timer pause_, sweeper_;
   const ChannelLimits limits_;
   Front& front_;
+  const lifecycle::Lifecycle& lifecycle_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   std::array<char, 16 * 1024> piece_{};  // what a channel has just read
@@ -161,7 +172,7 @@
   std::list<HttpChannel*> idle_;  // longest idle first
   std::size_t busy_ = 0;          // with an RPC, or with an answer that is not written yet
   std::size_t bytes_ = 0;         // held by all channels
-  bool draining_ = false, full_ = false;
+  bool full_ = false;
 };
 
 }  // namespace cranemux::front
--- a/src/front/fields.cpp
+++ b/src/front/fields.cpp
@@ -100,7 +100,7 @@
   return member(message.field("Cookie").value_or(""), "client", ';');
 }
 
-bool is_health(std::string_view target) { return target == "/health/ready" || target == "/health/live"; }
+bool is_health(std::string_view target) { return target == kReady || target == "/health/live"; }
 
 std::optional<double> read_units(const http::Message& message) {
   return number<double>(member(message.field("X-Call-Terms").value_or(""), "units", ','));
--- a/src/front/fields.h
+++ b/src/front/fields.h
@@ -35,6 +35,7 @@
 std::string read_caller(const http::Message& message, const core::Core& core, core::RpcTerms& terms);
 // The customer as the request names it, checked or not.
 std::string_view customer_of(const http::Message& message);
+constexpr std::string_view kReady = "/health/ready";
 bool is_health(std::string_view target);
 std::optional<double> read_units(const http::Message& message);
 
--- a/src/front/graphql/graphql.cpp
+++ b/src/front/graphql/graphql.cpp
@@ -250,7 +250,6 @@
 
 Handled GraphqlFront::request(const Incoming& incoming) {
   const auto& message = incoming.message;
-  if (is_health(message.target)) return {Reply{200, "ok\n", {}, "text/plain"}};
   const auto type = media_type(message);
   const auto reject = [&](int status, const std::string& code, const std::string& what) {
     ++counters_.graphql_rejected;
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -100,7 +100,6 @@
 
 Handled PlatformFront::request(const Incoming& incoming) {
   const auto& message = incoming.message;
-  if (is_health(message.target)) return {Reply{200, "ok\n", {}, "text/plain"}};
   const auto bad = [](const std::string& what, int status = 400) {
     return Handled{Reply{status, what + "\n", {}, "text/plain"}};
   };
--- a/src/front/routed.cpp
+++ b/src/front/routed.cpp
@@ -115,7 +115,6 @@
 
 Handled RoutedFront::request(const Incoming& incoming) {
   const auto& message = incoming.message;
-  if (is_health(message.target)) return {Reply{200, "ok\n", {}, "text/plain"}};
   auto where = routing::normalise(message.target, hosts_of(message));
   if (where.fault != routing::Fault::none) return ambiguous(where.fault);
   auto trip = std::make_shared<Trip>();
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -73,10 +73,12 @@
   listener.config.listen = config_->listen;
   listener.front = make_front(pool->core(), config_->load_fields, options.graphql, counters_);
   if (options.graphql) listener.graphql = static_cast<front::GraphqlFront*>(listener.front.get());
-  listener.channels = std::make_unique<front::ChannelServer>(
-      io, config_->listen, channel_limits_of(config_->sockets, config_->memory_mb, 1), *listener.front,
-      logger, counters_);
+  listener.channels =
+      std::make_unique<front::ChannelServer>(io, front::Door{config_->listen, config_->socket_fd},
+                                             channel_limits_of(config_->sockets, config_->memory_mb, 1),
+                                             *listener.front, lifecycle_, logger, counters_);
   listeners_.push_back(std::move(listener));
+  open_management(config_->management);
   open_console(options);
   open_exports(options);
 }
@@ -107,12 +109,14 @@
     listener.routed = routed.get();
     listener.front = std::move(routed);
     listener.channels = std::make_unique<front::ChannelServer>(
-        io, config.listen, channel_limits_of(services.sockets, services.memory_mb, services.listeners.size()),
-        *listener.front, logger, counters_);
+        io, front::Door{config.listen},
+        channel_limits_of(services.sockets, services.memory_mb, services.listeners.size()), *listener.front,
+        lifecycle_, logger, counters_);
     listeners_.push_back(std::move(listener));
   }
   const auto routings = make_routings(plan, pools_);
   for (std::size_t i = 0; i < listeners_.size(); ++i) listeners_[i].routed->set(routings[i]);
+  open_management(services_->management);
   open_console(options);
   open_exports(options);
 }
@@ -123,6 +127,10 @@
   for (auto& member : leaving_) member.pool->core().forget_all();
 }
 
+void Gatekeeper::open_management(const std::optional<config::Address>& at) {
+  if (at) management_ = std::make_unique<management::Management>(io_, *at, *this, logger_, counters_);
+}
+
 void Gatekeeper::open_console(const Options& options) {
   if (options.console.empty()) return;
   console_ = std::make_unique<console::Console>(
@@ -138,14 +146,15 @@
         io_, to, options.export_every, false,
         [this] {
           const auto now = std::chrono::system_clock::now().time_since_epoch();
-          return metrics::graphite_lines(counters(), name_, std::chrono::floor<std::chrono::seconds>(now));
+          return metrics::graphite_lines(counters(), figure(), name_,
+                                         std::chrono::floor<std::chrono::seconds>(now));
         },
         logger_, counters_));
   }
   if (!options.collectd.empty()) {
     exporters_.push_back(std::make_unique<metrics::Exporter>(
         io_, net::asio::local::stream_protocol::endpoint(options.collectd), options.export_every, true,
-        [this, interval] { return metrics::collectd_lines(counters(), name_, interval); }, logger_,
+        [this, interval] { return metrics::collectd_lines(counters(), figure(), name_, interval); }, logger_,
         counters_));
   }
 }
@@ -159,6 +168,8 @@
     logger_.log(metrics::Level::info, name_, " listens on ", listener.config.listen.host, ":",
                 listener.config.listen.port);
   }
+  lifecycle_.begin();
+  if (management_) management_->start();
   if (console_) console_->start();
   for (auto& exporter : exporters_) exporter->start();
 }
@@ -173,6 +184,17 @@
   return sum;
 }
 
+metrics::Figures Gatekeeper::figure() const {
+  metrics::Figures figures;
+  figures.lanes = counters().lanes;
+  for (const auto& listener : listeners_) figures.pending += listener.channels->busy();
+  for (const auto& [name, member] : pools_) {
+    figures.members += member.pool->nodes().size();
+    figures.members_unavailable += member.pool->core().avoided();
+  }
+  return figures;
+}
+
 std::size_t Gatekeeper::in_flight() const {
   std::size_t sum = 0;
   for (const auto& [name, member] : pools_) sum += member.pool->core().in_flight();
@@ -219,8 +241,14 @@
   }
 }
 
+// As an operator says: the front is told no, answers end their channels, all else goes on.
+void Gatekeeper::drain(bool on) {
+  if (!lifecycle_.drain(on, net::Clock::now())) return;
+  logger_.log(metrics::Level::info, on ? "drained by an operator" : "back to work");
+}
+
 void Gatekeeper::drain() {
-  if (std::exchange(draining_, true)) return;
+  if (!lifecycle_.end(net::Clock::now())) return;
   for (auto& [name, member] : pools_) member.pool->core().leaving();
   net::spawn(io_, logger_, "drain", wind_down());
 }
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -12,7 +12,10 @@
 #include "front/graphql/graphql.h"
 #include "front/routed.h"
 #include "front/services_plan.h"
+#include "lifecycle/lifecycle.h"
+#include "management/management.h"
 #include "metrics/export.h"
+#include "metrics/figures.h"
 #include "peers/peers.h"
 #include "pool/pool.h"
 
@@ -27,7 +30,7 @@
   std::chrono::milliseconds export_every{10'000};
 };
 
-class Gatekeeper {
+class Gatekeeper : public management::Operations {
  public:
   // One pool, as the platform's configuration has it.
   Gatekeeper(net::asio::io_context& io, const config::Config& config, const Options& options,
@@ -35,7 +38,7 @@
   // Several services, as a file of ours has them.
   Gatekeeper(net::asio::io_context& io, const front::ServicesPlan& plan, const Options& options,
              metrics::Logger& logger);
-  ~Gatekeeper();
+  ~Gatekeeper() override;
 
   void start();
   // As at SIGHUP. `read` brings the file checked, or throws; then all stays as it was.
@@ -43,8 +46,14 @@
   void reload_graphql(const std::function<front::GraphqlSetup()>& read);
   void reload_services(const std::function<front::ServicesPlan()>& read);
   std::string command(const std::string& line);  // of the console
+  // Of the operators' calls.
+  bool ready() const override { return lifecycle_.ready(); }
+  std::string stage() const override { return std::string(lifecycle::name_of(lifecycle_.stage())); }
+  std::string figures() const override { return metrics::lines(figure()); }
+  void drain(bool on) override;
   void drain();                                  // as at SIGTERM: answers what it has taken, then ends
   metrics::Counters counters() const;            // of the process and all its pools together
+  metrics::Figures figure() const;               // the same as operators see it, with what stands now
 
  private:
   struct Listener {
@@ -61,6 +70,8 @@
   using Members = std::map<std::string, Member>;
   using Routings = std::vector<std::shared_ptr<front::Routing>>;
 
+  // Of the operators' calls.
+  void open_management(const std::optional<config::Address>& at);
   void open_console(const Options& options);
   void open_exports(const Options& options);
   Member make_pool(const config::PoolConfig& config, const Members& others);
@@ -94,10 +105,12 @@
   peers::PeerLink peers_;
   Members pools_;
   std::vector<Member> leaving_;  // removed; at work until what they have taken is answered
+  lifecycle::Lifecycle lifecycle_;
   std::vector<Listener> listeners_;
   std::unique_ptr<console::Console> console_;
+  std::unique_ptr<management::Management> management_;
   std::vector<std::unique_ptr<metrics::Exporter>> exporters_;
-  bool draining_ = false, reaping_ = false;
+  bool reaping_ = false;
 };
 
 }  // namespace cranemux
--- a/src/gatekeeper_console.cpp
+++ b/src/gatekeeper_console.cpp
@@ -89,6 +89,9 @@
     const auto at = pools_.find(argument);
     if (!argument.empty() && at == pools_.end()) return "there is no pool " + argument + '\n';
     out << (at != pools_.end() && at->second.counters ? *at->second.counters : counters());
+    if (argument.empty()) out << figures();
+  } else if (name == "check" || name == "vars" || name == "drain-on" || name == "drain-off") {
+    return management::answer(line, *this);  // as where operators call
   } else if (name == "pools") {
     print_pools(out);
   } else if (name == "routes") {
@@ -112,14 +115,18 @@
     out << "log level " << metrics::kLevelNames[static_cast<std::size_t>(logger_.level())] << '\n';
   } else if ((name == "drain" && !argument.empty()) || name == "undrain") {
     return drain_command(argument, second, name == "drain");
-  } else if (name == "drain") {
+  } else if (name == "stop") {
     drain();
-    out << "draining: answers what it has taken, then ends\n";
+    out << "stopping: answers what it has taken, then ends\n";
+  } else if (name == "drain") {
+    return "drain what? drain POOL|* [NODE]; drain-on empties the gatekeeper, stop ends it\n";
   } else if (name == "help") {
     out << "counters [POOL] | pools | routes | nodes [POOL] | quotas [POOL] | members | log "
            "[debug|info|warning|error] "
            "| "
-           "drain POOL|* [NODE] | undrain POOL|* [NODE] | drain | help | quit\n";
+           "drain POOL|* [NODE] | undrain POOL|* [NODE] | check | vars | drain-on | drain-off | stop | help "
+           "| "
+           "quit\n";
   } else {
     return "unknown command " + name + ": try help\n";
   }
--- /dev/null
+++ b/src/ledger/account.h
@@ -0,0 +1,30 @@
+// What a gatekeeper knows of a customer whose requests come through it.
+#pragma once
+
+#include <cstdint>
+
+#include "cranemux/brain.h"
+#include "ledger/ledger.h"
+
+namespace cranemux::ledger {
+
+struct Account {                       // one customer, as each of its gateways sees it
+  const PlanSettings* plan = nullptr;  // unknown until its first request here
+  std::uint32_t hash = 0;
+  int first = 0, spread = 1;  // its set
+  double level = 0;           // D: units left, as last told, filled and less own use
+  double sure = 0;            // D by the last word of it, less own use since: what may be borrowed
+  double left = 0;            // D as told, with what is granted here: for those who ask what they may yet use
+  double ceiling = 0;         // own part of the hard ceiling
+  Nanos filled = 0;
+  std::int64_t total = 0;          // own units sent in this life
+  std::int64_t limit = 0;          // credits: units in all (or attempts out at once) that may be used
+  Nanos asked = -1, answered = 0;  // the last question to a keeper, and its answer
+  int misses = 0;                  // questions since then that nobody answered
+  int held = 0, open = 0;
+  double held_weight = 0, held_units = 0, asked_units = 0;
+  bool news = false;  // what its keeper assumes of it has changed
+  Spender spender;    // where quotas are guarded: what stands in for `limit`
+};
+
+}  // namespace cranemux::ledger
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -2,13 +2,21 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <ostream>
+#include <string>
 #include <vector>
 
 namespace cranemux::metrics {
 
+// Of one class: how its requests have ended, and the attempts written whole to workers.
+struct Lane {
+  std::uint64_t completed = 0, rejected = 0, failed = 0, upstream = 0;
+};
+
 struct Counters {
   using Count = std::uint64_t;
+  std::map<std::string, Lane> lanes;  // by class
   Count channels_opened = 0, accept_failures = 0, bad_requests = 0;
   Count channels_idle_closed = 0, channels_cut = 0, channels_evicted = 0, channels_over_idle_budget = 0;
   Count requests_timed_out = 0, requests_no_memory = 0;
@@ -31,6 +39,7 @@
   Count subscriptions_opened = 0, subscriptions_refused = 0, subscriptions_failed = 0, subscriptions_cut = 0;
   Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
+  Count management_calls = 0, management_evicted = 0;
 
   template <typename Visit>
   void each(Visit visit) const {
@@ -109,6 +118,8 @@
     visit("subscription_events", self.subscription_events);
     visit("exports_sent", self.exports_sent);
     visit("exports_dropped", self.exports_dropped);
+    visit("management_calls", self.management_calls);
+    visit("management_evicted", self.management_evicted);
   }
 };
 
@@ -118,6 +129,13 @@
   other.each([&](const char*, std::uint64_t value) { more.push_back(value); });
   std::size_t at = 0;
   each_of(*this, [&](const char*, std::uint64_t& value) { value += more[at++]; });
+  for (const auto& [name, lane] : other.lanes) {
+    auto& sum = lanes[name];
+    sum.completed += lane.completed;
+    sum.rejected += lane.rejected;
+    sum.failed += lane.failed;
+    sum.upstream += lane.upstream;
+  }
   return *this;
 }
 
--- a/src/metrics/export.cpp
+++ b/src/metrics/export.cpp
@@ -20,9 +20,17 @@
 
 }  // namespace
 
-std::string graphite_lines(const Counters& counters, const std::string& name,
+std::string graphite_lines(const Counters& counters, const Figures& figures, const std::string& name,
                            std::chrono::seconds unix_time) {
   std::string out;
+  // Labels become the tags of Graphite: cranemux.NAME.router_pending;lane=C
+  figures.each([&](const char* figure, const std::string& labels, std::uint64_t value) {
+    out += "cranemux." + plain(name, false) + '.' + figure;
+    for (const auto c : labels.empty() ? labels : ';' + labels) {
+      if (c != '"') out += c == ',' ? ';' : c;
+    }
+    out += ' ' + std::to_string(value) + ' ' + std::to_string(unix_time.count()) + '\n';
+  });
   counters.each([&](const char* counter, std::uint64_t value) {
     out += "cranemux." + plain(name, false) + '.' + counter + ' ' + std::to_string(value) + ' ' +
            std::to_string(unix_time.count()) + '\n';
@@ -30,8 +38,21 @@
   return out;
 }
 
-std::string collectd_lines(const Counters& counters, const std::string& name, std::chrono::seconds interval) {
+std::string collectd_lines(const Counters& counters, const Figures& figures, const std::string& name,
+                           std::chrono::seconds interval) {
   std::string out;
+  // The instance of a type holds the values of the labels: derive-router_upstream_requests-C
+  figures.each([&](const char* figure, const std::string& labels, std::uint64_t value) {
+    std::string instance;
+    for (std::size_t at = labels.find('"'); at != std::string::npos; at = labels.find('"', at)) {
+      const auto end = labels.find('"', at + 1);
+      instance += '-' + plain(labels.substr(at + 1, end - at - 1), true);
+      at = end + 1;
+    }
+    out += "PUTVAL \"" + plain(name, true) + "/cranemux/" + (labels.empty() ? "gauge-" : "derive-") + figure +
+           instance + "\" interval=" + std::to_string(interval.count()) + " N:" + std::to_string(value) +
+           '\n';
+  });
   counters.each([&](const char* counter, std::uint64_t value) {
     out += "PUTVAL \"" + plain(name, true) + "/cranemux/derive-" + counter +
            "\" interval=" + std::to_string(interval.count()) + " N:" + std::to_string(value) + '\n';
--- a/src/metrics/export.h
+++ b/src/metrics/export.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string>
 
-#include "metrics/counters.h"
+#include "metrics/figures.h"
 #include "net/net.h"
 
 namespace cranemux::metrics {
@@ -14,9 +14,11 @@
 using Endpoint = net::asio::generic::stream_protocol::endpoint;
 
 // `cranemux.NAME.counter value time`, a line each.
-std::string graphite_lines(const Counters& counters, const std::string& name, std::chrono::seconds unix_time);
+std::string graphite_lines(const Counters& counters, const Figures& figures, const std::string& name,
+                           std::chrono::seconds unix_time);
 // `PUTVAL "NAME/cranemux/derive-counter" interval=10 N:value`, a line each.
-std::string collectd_lines(const Counters& counters, const std::string& name, std::chrono::seconds interval);
+std::string collectd_lines(const Counters& counters, const Figures& figures, const std::string& name,
+                           std::chrono::seconds interval);
 
 class Exporter {
  public:
--- a/testing/program.cpp
+++ b/testing/program.cpp
@@ -57,7 +57,8 @@
 }
 
 Program::Program(const std::string& binary, const std::vector<std::string>& arguments,
-                 const std::map<std::string, std::string>& environment, const std::string& log) {
+                 const std::map<std::string, std::string>& environment, const std::string& log,
+                 int inherited) {
   std::vector<char*> words{const_cast<char*>(binary.c_str())};
   for (const auto& argument : arguments) words.push_back(const_cast<char*>(argument.c_str()));
   words.push_back(nullptr);
@@ -66,7 +67,10 @@
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::dup2(out, 1);
   ::dup2(out, 2);
-  for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"})
+  if (inherited >= 0) ::dup2(inherited, 4);
+  ::close_range(inherited >= 0 ? 5 : 3, ~0U, 0);
+  for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG",
+                           "ROUTER_MANAGEMENT", "ROUTER_SOCKET_FD"})
     ::unsetenv(name);
   for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
   ::execv(binary.c_str(), words.data());
--- a/testing/program.h
+++ b/testing/program.h
@@ -27,9 +27,10 @@
 
 class Program {
  public:
-  // `log`: a file that takes standard output and error.
+  // `log`: a file that takes standard output and error. `inherited`: what it gets as descriptor 4; nothing
+  // else of ours stays open there.
   Program(const std::string& binary, const std::vector<std::string>& arguments,
-          const std::map<std::string, std::string>& environment, const std::string& log);
+          const std::map<std::string, std::string>& environment, const std::string& log, int inherited = -1);
   ~Program();  // kills it, if it is still there
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
--- /dev/null
+++ b/tests/lifecycle_test.cpp
@@ -0,0 +1,81 @@
+#include "lifecycle/lifecycle.h"
+
+#include <gtest/gtest.h>
+
+namespace cranemux::lifecycle {
+namespace {
+
+using std::chrono::milliseconds;
+const Time kStart{std::chrono::seconds(100)};
+
+TEST(lifecycle, is_ready_only_while_it_serves) {
+  Lifecycle life;
+  EXPECT_FALSE(life.ready());
+  EXPECT_TRUE(life.begin());
+  EXPECT_TRUE(life.ready());
+  EXPECT_TRUE(life.drain(true, kStart));
+  EXPECT_FALSE(life.ready());
+  EXPECT_TRUE(life.drain(false, kStart));
+  EXPECT_TRUE(life.ready());
+  EXPECT_TRUE(life.hand_over(kStart));
+  EXPECT_FALSE(life.ready());
+  EXPECT_TRUE(life.end(kStart));
+  EXPECT_FALSE(life.ready());
+}
+
+TEST(lifecycle, twice_is_once) {
+  Lifecycle life;
+  life.begin();
+  EXPECT_FALSE(life.begin());
+  EXPECT_FALSE(life.drain(false, kStart));
+  EXPECT_TRUE(life.drain(true, kStart));
+  // The second call does not begin the drain again: idle channels go when the first said so.
+  EXPECT_FALSE(life.drain(true, kStart + milliseconds(400)));
+  EXPECT_TRUE(life.closes_idle(kStart + milliseconds(600)));
+  EXPECT_TRUE(life.hand_over(kStart));
+  EXPECT_FALSE(life.hand_over(kStart));
+  EXPECT_TRUE(life.end(kStart));
+  EXPECT_FALSE(life.end(kStart));
+  EXPECT_FALSE(life.hand_over(kStart));
+}
+
+// While the front has not noticed, an answer that ends its channel only brings the client back.
+TEST(lifecycle, a_drain_closes_once_the_front_has_noticed_and_before_the_operators_count) {
+  Lifecycle life;
+  life.begin();
+  EXPECT_FALSE(life.last_answer(kStart));
+  life.drain(true, kStart);
+  EXPECT_FALSE(life.last_answer(kStart + milliseconds(200)));
+  EXPECT_FALSE(life.closes_idle(kStart + milliseconds(200)));
+  EXPECT_TRUE(life.last_answer(kStart + milliseconds(1000)));
+  EXPECT_TRUE(life.closes_idle(kStart + milliseconds(1000)));
+  EXPECT_FALSE(life.closes_all(kStart + milliseconds(1000)));
+  EXPECT_TRUE(life.closes_all(kStart + milliseconds(3900)));
+  life.drain(false, kStart + milliseconds(4000));
+  EXPECT_FALSE(life.last_answer(kStart + milliseconds(9000)));
+  EXPECT_FALSE(life.closes_idle(kStart + milliseconds(9000)));
+}
+
+TEST(lifecycle, a_drain_does_not_undo_an_end) {
+  Lifecycle life;
+  life.begin();
+  life.drain(true, kStart);
+  EXPECT_TRUE(life.end(kStart + milliseconds(100)));
+  EXPECT_TRUE(life.drain(false, kStart + milliseconds(200)));
+  EXPECT_FALSE(life.ready());
+  EXPECT_EQ(life.stage(), Stage::ending);
+  // New connections come for 0.4 s after SIGTERM.
+  EXPECT_FALSE(life.last_answer(kStart + milliseconds(500)));
+  EXPECT_TRUE(life.last_answer(kStart + milliseconds(700)));
+}
+
+TEST(lifecycle, one_that_starts_drained_stays_so) {
+  Lifecycle life;
+  life.drain(true, kStart);
+  life.begin();
+  EXPECT_EQ(life.stage(), Stage::drained);
+  EXPECT_FALSE(life.ready());
+}
+
+}  // namespace
+}  // namespace cranemux::lifecycle
