Let a new process take over from an old one with all that one gatekeeper may not forget

Followed by what it is told: the same listening socket, the same peer_listen, another management; it died in bind() of ROUTER_LISTEN, and with the inherited socket in bind() of peer_listen (src/peers/peers.cpp). Ruled out: a conflict at management (the address is new) and files (only TMPDIR).

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -291,6 +291,7 @@
           [&](const Tell& a) { return "announce whom=" + number(a.to) + " body=" + encode_base64(a.bytes); },
           [&](const Watch&) { return std::string("stream_changes enable=1"); },
           [&](const Log& a) { return "remark words=" + a.text; },
+          [&](const Elsewhere&) { return std::string("remark words=handed over"); },  // never here
       },
       action);
 }
--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -161,9 +161,20 @@
   bool ok = false;
   double total = 0;
 };
+// Another process of this gateway serves in its place: what is spent from now on is told, as Elsewhere. Or,
+// after all, it serves on.
+struct HandedOver {
+  bool away = true;
+};
+// Spent, or settled afterwards, by a process of this gateway that has handed over.
+struct Elsewhere {
+  std::uint32_t customer = 0;  // its hash
+  double units = 0;
+  bool settled = false;
+};
 struct Leaving {};  // it is about to end: what it keeps of guarded quotas goes to others
-using Event =
-    std::variant<ServerList, Request, FirstByte, Outcome, Gone, Probed, PeerMessage, Timer, Counted, Leaving>;
+using Event = std::variant<ServerList, Request, FirstByte, Outcome, Gone, Probed, PeerMessage, Timer, Counted,
+                           Leaving, HandedOver, Elsewhere>;
 
 // ---- actions ------------------------------------------------------------------------------------
 
@@ -197,7 +208,7 @@
 struct Log {
   std::string text;
 };
-using Action = std::variant<Send, Cancel, Refuse, Fail, SetTimer, Probe, Tell, Watch, Log>;
+using Action = std::variant<Send, Cancel, Refuse, Fail, SetTimer, Probe, Tell, Watch, Log, Elsewhere>;
 
 // A customer's store as this front door knows it: by the last word of its keeper, filled since, less own use.
 struct Allowance {
@@ -220,6 +231,10 @@
   std::optional<Allowance> allowance(Nanos now, const std::string& customer) const;
   // Servers in the list that it would send nothing now, since they drain or have failed.
   std::size_t avoided(Nanos now) const;
+  // What the next process of this gateway needs to know, and taking it up: before the first step. False: it
+  // makes no sense here, or quotas are guarded, which have a way of their own; nothing has changed.
+  std::string save() const;
+  bool restore(Nanos now, const std::string& state, std::vector<Action>& actions);
   // Members of the tier and ledgers, in words, a line each; empty where quotas are not guarded.
   std::string guard_report(Nanos now) const;
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,8 +14,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "ledger/account.h"
-#include "ledger/ledger.h"
+#include "handover/module_state.h"
+#include "ledger/books.h"
 #include "ledger/report.h"
 
 namespace cranemux {
@@ -79,19 +79,9 @@
 // ---- records ------------------------------------------------------------------------------------
 
 using ledger::Account;
+using ledger::Books;
 using ledger::Ledger;  // of a customer whose keeper this gateway is
-
-struct Server {
-  ServerEntry entry;
-  int open = 0;
-  double latency = 0;      // mean time of answers, ns; 0: none yet
-  double window = 1;       // own attempts out that it may have; parts count towards the sum
-  Nanos last_ok_sent = 0;  // when the newest attempt that it answered was sent
-  Nanos cut_at = 0, ejected_until = 0, ejected_for = 0, listed = 0;
-  int strikes = 0;
-  double cold_tokens = 1;
-};
-
+using pool::Server;
 struct Attempt {
   int server = 0;
   Nanos sent = 0;
@@ -110,18 +100,6 @@
 
 }  // namespace
 
-// Quotas and the mail about them: of one Brain, or of several in a process that hold them together.
-struct Books {
-  std::vector<PlanSettings> plans;
-  std::uint32_t life = 0;
-  std::map<std::uint32_t, Account> accounts;
-  std::set<std::uint32_t> busy;      // accounts with something to ask or tell
-  std::vector<Nanos> shunned_until;  // by gateway: as a keeper it has not answered
-  Nanos started = -1;
-  std::unique_ptr<ledger::Mail> mail;  // from the start on
-  std::unique_ptr<ledger::Ledgers> ledgers;
-};
-
 class Brain::Impl {
  public:
   explicit Impl(const Settings& settings, std::shared_ptr<Books> books = nullptr)
@@ -160,6 +138,19 @@
     return ledger::report(*books_->mail, *books_->ledgers, static_cast<std::size_t>(on), ledger::Time(now));
   }
 
+  std::string save() { return s_.guarded || !started_ ? std::string() : handover::save(memory()); }
+
+  bool restore(Nanos now, const std::string& bytes, std::vector<Action>& actions) {
+    auto state = handover::read(bytes, s_, now);
+    if (!state || s_.guarded || started_) return false;
+    now_ = now;
+    actions_ = &actions;
+    life_ = state->life;
+    start();
+    handover::take_up(std::move(*state), memory());
+    return true;
+  }
+
   void step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
     now_ = now;
     actions_ = &actions;
@@ -185,6 +176,8 @@
     }
   }
 
+  handover::Memory memory() { return {*books_, served_recently_, hedge_tokens_, budgets_, servers_, by_id_}; }
+
   template <typename T>
   void act(T action) {
     actions_->emplace_back(std::move(action));
@@ -264,6 +257,7 @@
   }
 
   void spend(Account& a, double units) {
+    if (away_) act(Elsewhere{a.hash, units, false});
     a.ceiling -= units;
     if (guarded(a) && !a.spender.spend(a.total, units, part(a.plan->rate), part(a.plan->burst), time()))
       return;
@@ -818,6 +812,7 @@
   }
 
   void settle(Account& a, double difference) {
+    if (away_) act(Elsewhere{a.hash, difference, true});
     fill(a);
     a.total = std::max<std::int64_t>(0, a.total + std::llround(difference));
     a.limit += std::llround(difference);
@@ -948,6 +943,13 @@
     });
   }
   void on(const Leaving&) { ends_ = true; }
+  void on(const HandedOver& handed) { away_ = handed.away; }
+  void on(const Elsewhere& e) {
+    const auto a = accounts_.find(e.customer);
+    if (a == accounts_.end() || !a->second.plan) return;
+    fill(a->second);
+    e.settled ? settle(a->second, e.units) : spend(a->second, e.units);
+  }
 
   void tick() {
     last_tick_ = now_;
@@ -1005,6 +1007,7 @@
   bool started_ = false;
   bool idle_ = false;
   bool ends_ = false;     // keeps nothing any more
+  bool away_ = false;     // another process serves in its place
   bool pressed_ = false;  // no server had room for a held request at the last look
   bool freed_ = false;    // credits have come since the last look at held requests
   Nanos next_guard_ = 0, next_split_ = 0, next_tick_ = 0, last_tick_ = 0, refilled_ = 0;
@@ -1026,6 +1029,10 @@
 std::optional<Allowance> Brain::allowance(Nanos now, const std::string& customer) const {
   return impl_->allowance(now, customer);
 }
+std::string Brain::save() const { return impl_->save(); }
+bool Brain::restore(Nanos now, const std::string& state, std::vector<Action>& actions) {
+  return impl_->restore(now, state, actions);
+}
 std::size_t Brain::avoided(Nanos now) const { return impl_->avoided(now); }
 std::string Brain::guard_report(Nanos now) const { return impl_->guard_report(now); }
 void Brain::step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -196,6 +196,7 @@
   if (const auto at = environment("ROUTER_MANAGEMENT")) {
     config.management = parse_address(*at, "ROUTER_MANAGEMENT");
   }
+  config.folder = environment("TMPDIR").value_or("");
   if (const auto fd = environment("ROUTER_SOCKET_FD")) {
     try {
       config.socket_fd = cranemux::config::parse_number<int>(*fd, "ROUTER_SOCKET_FD");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -44,6 +44,7 @@
   std::string name;
   Address listen, discovery;
   std::optional<Address> management;  // where operators call
+  std::string folder;                 // that two lives of one gatekeeper share; empty: none
   std::optional<int> socket_fd;       // of the inherited listening socket, where there is one
   std::optional<Address> peer_listen;
   std::vector<Address> peers;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -154,6 +154,46 @@
 
 void Core::leaving() { push(cranemux::Leaving{}); }
 
+// What has happened so far is taken up first, so that the state holds it.
+std::string Core::hand_over(std::function<void(const cranemux::Elsewhere&)> spent) {
+  do {
+    turn();
+  } while (!events_.empty());
+  spent_ = std::move(spent);
+  push(cranemux::HandedOver{true});
+  return brain_.save();
+}
+
+void Core::take_back() { push(cranemux::HandedOver{false}); }
+
+bool Core::take_over(const std::string& state) {
+  actions_.clear();
+  const auto now = std::chrono::duration_cast<nanoseconds>(Clock::now().time_since_epoch());
+  if (!brain_.restore(now.count(), state, actions_)) return false;
+  for (const auto& action : actions_) carry_out(action);
+  return true;
+}
+
+void Core::spent_elsewhere(const cranemux::Elsewhere& spent) { push(cranemux::Elsewhere(spent)); }
+
+void Core::give_up() {
+  std::vector<RpcId> left;
+  for (const auto& [id, rpc] : rpcs_) {
+    if (rpc.channel) left.push_back(id);
+  }
+  for (const auto id : left) give_up(id);
+}
+
+// The answer that the core has to give itself, since the module has not.
+void Core::give_up(RpcId id) {
+  auto& rpc = rpcs_.at(id);
+  const bool harmless = !rpc.unsafe || (!rpc.may_have_run && !rpc.out);
+  finish(id, rpc, {.ending = harmless ? Ending::unavailable : Ending::failed});
+  rpc.gone = true;
+  events_.emplace_back(cranemux::Gone{std::to_string(id)});
+  drop_if_over(id);
+}
+
 void Core::turn() {
   const auto now = Clock::now();
   turn_asked_ = true;  // what happens during the step is taken up after it
@@ -185,13 +225,8 @@
 void Core::guard_deadlines(Clock::time_point now) {
   while (!guards_.empty() && guards_.begin()->first <= now) {
     const auto id = guards_.begin()->second;
-    auto& rpc = rpcs_.at(id);
     ++counters_.deadline_guards;
-    const bool harmless = !rpc.unsafe || (!rpc.may_have_run && !rpc.out);
-    finish(id, rpc, {.ending = harmless ? Ending::unavailable : Ending::failed});
-    rpc.gone = true;
-    events_.emplace_back(cranemux::Gone{std::to_string(id)});
-    drop_if_over(id);
+    give_up(id);
   }
 }
 
@@ -265,6 +300,9 @@
                    timers_.emplace(Clock::time_point(nanoseconds(a.at)), a.token);
                  },
                  [&](const cranemux::Tell& a) { peers_->tell(a.to, a.bytes); },
+                 [&](const cranemux::Elsewhere& a) {
+                   if (spent_) spent_(a);
+                 },
                  [&](const cranemux::Log& a) { logger_.log(metrics::Level::info, a.text); },
                  [&](const cranemux::Watch&) {},  // the resolver always watches
                  [&](const cranemux::Probe&) {},  // no site of ours permits probes
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -111,7 +112,15 @@
   void resolved(cranemux::ServerList&& list);
   void peer_said(int from, std::string bytes);
   void leaving();  // the gatekeeper is about to end
-  void turn();     // one step of the module, with all that has happened since the last
+  // Of a process that is replaced: what the next one must know, after which that one decides; and the other
+  // way.
+  std::string hand_over(std::function<void(const cranemux::Elsewhere&)> spent);
+  void take_back();
+  bool take_over(const std::string& state);  // before the first turn. False: it could not be used
+  void spent_elsewhere(const cranemux::Elsewhere& spent);
+  // Answers all that is left, as the process is about to end.
+  void give_up();
+  void turn();  // one step of the module, with all that has happened since the last
 
   void forget_all() { rpcs_.clear(); }  // at the process's end: what is left has no answer
 
@@ -147,6 +156,7 @@
   }
   Rpc* find(const std::string& id, RpcId& number);
   void finish(RpcId id, Rpc& rpc, FinalAnswer&& answer);
+  void give_up(RpcId id);
   void drop_if_over(RpcId id);
   void count_use(const RpcTerms& terms);
   void carry_out(const cranemux::Action& action);
@@ -169,6 +179,7 @@
   std::map<std::string, Use> use_;
   RpcId last_id_ = 0;
   std::size_t unanswered_ = 0;
+  std::function<void(const cranemux::Elsewhere&)> spent_;  // told while another process serves
   bool turn_asked_ = false;
 };
 
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -425,7 +425,7 @@
     if (const auto [error] = co_await sweeper_.async_wait(net::kResult); error) co_return;
     const auto now = net::Clock::now();
     if (lifecycle_.closes_idle(now)) drain();
-    const bool crowded = channels_.size() > limits_.channels / 2;
+    const bool crowded = channels_.size() > most() / 2;
     for (auto* channel : channels()) {
       // None of those that follow is gone: only what times out itself leaves.
       if (now - channel->since() >= time_limit(channel->state(), crowded)) channel->time_out();
@@ -435,13 +435,14 @@
 
 net::awaitable<void> ChannelServer::accept() {
   while (acceptor_.is_open()) {
-    full_ = channels_.size() >= limits_.channels && !make_room();
-    if (full_) {  // all of them wait for an answer
+    full_ = channels_.size() >= most() && !make_room();
+    if (paused_ || full_) {  // all of them wait for an answer
       pause_.expires_after(kAcceptPause);
       co_await pause_.async_wait(net::kResult);
       continue;
     }
     auto [error, socket] = co_await acceptor_.async_accept(net::kResult);
+    if (error == net::asio::error::operation_aborted && paused_) continue;
     if (error == net::asio::error::operation_aborted) co_return;
     if (error) {  // as when descriptors run out: it goes on, but does not spin
       ++counters_.accept_failures;
@@ -460,6 +461,12 @@
   for (auto* channel : channels()) channel->drain();
 }
 
+void ChannelServer::pause(bool paused) {
+  paused_ = paused;
+  boost::system::error_code ignored;
+  if (paused) acceptor_.cancel(ignored);
+}
+
 void ChannelServer::stop() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -2,6 +2,7 @@
 // bounds what a channel may hold and for how long. A front says what a request means.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <list>
@@ -144,6 +145,11 @@
   void start();
   void drain();  // closes channels between requests, and lets streams end; still accepts
   void stop();   // accepts no more
+  // Another process that has the same socket accepts instead; or this one again.
+  void pause(bool paused);
+  // So many channels are another process's for now.
+  void lend(std::size_t channels) { lent_ = channels; }
+  std::size_t size() const { return channels_.size(); }
   bool idle() const { return channels_.empty(); }
   std::size_t busy() const { return busy_; }  // channels with a request that is taken and not yet ended
 
@@ -153,6 +159,7 @@
   net::awaitable<void> accept();
   net::awaitable<void> sweep();
   bool make_room();
+  std::size_t most() const { return limits_.channels - std::min(lent_, limits_.channels * 3 / 4); }
   void make_memory();
   void keep_idle_budget();
   void left(HttpChannel* channel);
@@ -172,7 +179,8 @@
   std::list<HttpChannel*> idle_;  // longest idle first
   std::size_t busy_ = 0;          // with an RPC, or with an answer that is not written yet
   std::size_t bytes_ = 0;         // held by all channels
-  bool full_ = false;
+  std::size_t lent_ = 0;
+  bool full_ = false, paused_ = false;
 };
 
 }  // namespace cranemux::front
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -119,7 +119,7 @@
   if (!units || !(*units >= 1 && *units <= core_.settings().most_units) || *units != std::floor(*units)) {
     return bad("X-Call-Terms: no units");
   }
-  if (open_->contains(id)) return bad("Req-Id is that of an open request", 409);
+  if (open_->contains(id) || elsewhere_.contains(id)) return bad("Req-Id is that of an open request", 409);
   terms.units = *units;
   terms.budget = std::max(std::chrono::nanoseconds{}, terms.budget - incoming.waited);
   const auto target = incoming.target.empty() ? message.target : incoming.target;
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -1,7 +1,9 @@
 // The platform's protocol: a thin front.
 #pragma once
 
+#include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "attempt/attempts.h"
 #include "front/channel_server.h"
@@ -16,10 +18,14 @@
   Reply malformed(int status) override;
   Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) override;
   void abandoned(core::RpcId rpc, const std::shared_ptr<void>&) override { core_.abandoned(rpc); }
+  // Ids of requests in flight, here and at another process of this gatekeeper.
+  std::vector<std::string> open_ids() const { return {open_->begin(), open_->end()}; }
+  void open_elsewhere(const std::vector<std::string>& ids) { elsewhere_ = {ids.begin(), ids.end()}; }
   std::string class_of(const http::Message& message) const override;
 
  private:
   core::Core& core_;
+  std::unordered_set<std::string> elsewhere_;
   std::shared_ptr<const std::vector<std::string>> load_fields_;
   // Ids of RPCs that are in flight, kept by their payloads.
   std::shared_ptr<std::unordered_set<std::string>> open_ =
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 
-#include "front/platform/platform.h"
-
 namespace cranemux {
 namespace {
 
-// New connections come for 0.4 s after SIGTERM; SIGKILL comes 2.7 s after it at the earliest.
-constexpr std::chrono::milliseconds kStillOpen{450}, kLook{10}, kLongestDrain{2600};
+constexpr std::chrono::milliseconds kLook{10};
+constexpr std::chrono::milliseconds kLongestCounted{3000};  // of a class's deadline, at a planned end
+constexpr std::chrono::milliseconds kAfterDeadline{550};    // SIGKILL comes 0.7 s after it at the earliest
 constexpr std::chrono::milliseconds kReap{50};
 constexpr const char* kOnlyPool = "main";
 
@@ -72,7 +71,11 @@
   listener.config.name = kOnlyPool;
   listener.config.listen = config_->listen;
   listener.front = make_front(pool->core(), config_->load_fields, options.graphql, counters_);
-  if (options.graphql) listener.graphql = static_cast<front::GraphqlFront*>(listener.front.get());
+  if (options.graphql) {
+    listener.graphql = static_cast<front::GraphqlFront*>(listener.front.get());
+  } else {
+    listener.platform = static_cast<front::PlatformFront*>(listener.front.get());
+  }
   listener.channels =
       std::make_unique<front::ChannelServer>(io, front::Door{config_->listen, config_->socket_fd},
                                              channel_limits_of(config_->sockets, config_->memory_mb, 1),
@@ -160,6 +163,7 @@
 }
 
 void Gatekeeper::start() {
+  open_handover();
   for (auto& [name, member] : pools_) {
     member.pool->start(member.pool->config().discovery.has_value() && !own_servers_);
   }
@@ -253,19 +257,34 @@
   net::spawn(io_, logger_, "drain", wind_down());
 }
 
+// SIGKILL comes once the longest deadline is over, and a little later.
+std::chrono::nanoseconds Gatekeeper::longest_drain() const {
+  std::chrono::nanoseconds longest{};
+  for (const auto& [name, member] : pools_) {
+    for (const auto& c : member.pool->config().settings.classes) {
+      longest = std::max(longest, std::chrono::nanoseconds(c.give_up));
+    }
+  }
+  return std::min<std::chrono::nanoseconds>(longest, kLongestCounted) + kAfterDeadline;
+}
+
 net::awaitable<void> Gatekeeper::wind_down() {
   const auto start = net::Clock::now();
-  drain_timer_.expires_at(start + kStillOpen);
-  co_await drain_timer_.async_wait(net::kResult);
   const auto idle = [this] {
     return in_flight() == 0 && std::all_of(listeners_.begin(), listeners_.end(),
                                            [](const auto& listener) { return listener.channels->idle(); });
   };
-  while (net::Clock::now() < start + kLongestDrain && !idle()) {
-    for (auto& listener : listeners_) listener.channels->drain();
+  const auto end = start + longest_drain();
+  for (auto now = start; now < end; now = net::Clock::now()) {
+    if (lifecycle_.closes_idle(now)) {
+      if (idle()) break;
+      for (auto& listener : listeners_) listener.channels->drain();
+    }
     drain_timer_.expires_after(kLook);
     co_await drain_timer_.async_wait(net::kResult);
   }
+  // What nobody has answered yet is answered now: nothing that was taken is lost.
+  for (auto& [name, member] : pools_) member.pool->core().give_up();
   for (auto& listener : listeners_) listener.channels->stop();
   io_.stop();
 }
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -10,8 +10,10 @@
 #include "config/config.h"
 #include "console/console.h"
 #include "front/graphql/graphql.h"
+#include "front/platform/platform.h"
 #include "front/routed.h"
 #include "front/services_plan.h"
+#include "handover/link.h"
 #include "lifecycle/lifecycle.h"
 #include "management/management.h"
 #include "metrics/export.h"
@@ -51,16 +53,17 @@
   std::string stage() const override { return std::string(lifecycle::name_of(lifecycle_.stage())); }
   std::string figures() const override { return metrics::lines(figure()); }
   void drain(bool on) override;
-  void drain();                                  // as at SIGTERM: answers what it has taken, then ends
-  metrics::Counters counters() const;            // of the process and all its pools together
-  metrics::Figures figure() const;               // the same as operators see it, with what stands now
+  void drain();                        // as at SIGTERM: answers what it has taken, then ends
+  metrics::Counters counters() const;  // of the process and all its pools together
+  metrics::Figures figure() const;     // the same as operators see it, with what stands now
 
  private:
   struct Listener {
     config::ListenerConfig config;
     std::unique_ptr<front::Front> front;
-    front::RoutedFront* routed = nullptr;    // the same, where there are several pools
-    front::GraphqlFront* graphql = nullptr;  // the same, where it is served alone
+    front::RoutedFront* routed = nullptr;      // the same, where there are several pools
+    front::PlatformFront* platform = nullptr;  // the same, where it is that alone
+    front::GraphqlFront* graphql = nullptr;    // the same, where it is served alone
     std::unique_ptr<front::ChannelServer> channels;
   };
   struct Member {
@@ -71,6 +74,16 @@
   using Routings = std::vector<std::shared_ptr<front::Routing>>;
 
   // Of the operators' calls.
+  // Of a process that is replaced, and of the one that replaces it.
+  void open_handover();
+  std::string handover_path() const;
+  pool::Pool& the_pool() { return *pools_.begin()->second.pool; }
+  void take_over();
+  void take_up(const handover::State& state);
+  handover::State hand_over();
+  void take_back();
+  void alone_again();  // the process before has ended: its room is free
+
   void open_management(const std::optional<config::Address>& at);
   void open_console(const Options& options);
   void open_exports(const Options& options);
@@ -86,6 +99,7 @@
   std::size_t in_flight() const;
   net::awaitable<void> reap();
   net::awaitable<void> wind_down();
+  std::chrono::nanoseconds longest_drain() const;
 
   std::string drain_command(const std::string& pool, const std::string& node, bool drained);
   void print_pools(std::ostream& out) const;
@@ -106,6 +120,8 @@
   Members pools_;
   std::vector<Member> leaving_;  // removed; at work until what they have taken is answered
   lifecycle::Lifecycle lifecycle_;
+  std::unique_ptr<handover::Giver> giver_;
+  std::unique_ptr<handover::Heir> heir_;
   std::vector<Listener> listeners_;
   std::unique_ptr<console::Console> console_;
   std::unique_ptr<management::Management> management_;
--- /dev/null
+++ b/src/handover/module_state.cpp
@@ -0,0 +1,87 @@
+#include "handover/module_state.h"
+
+#include <cmath>
+#include <utility>
+
+namespace cranemux::handover {
+namespace {
+
+// Could a module with these settings have written it? Figures that no module writes would spread.
+bool sane(const ModuleState& s, const Settings& settings, Nanos now) {
+  const auto fits = [](double figure) { return std::isfinite(figure) && std::abs(figure) < 1e12; };
+  bool good = s.shunned_until.size() == static_cast<std::size_t>(settings.gateways) && s.started <= now &&
+              fits(s.served_recently) && fits(s.hedge_tokens) && s.life <= 0xffff &&
+              s.plans.size() == s.accounts.size();
+  for (const auto& [hash, a] : s.accounts) {
+    good = good && s.plans.contains(hash) && fits(a.level) && fits(a.sure) && fits(a.left) &&
+           fits(a.ceiling) && a.filled <= now && a.hash == hash && a.spread >= 1 &&
+           a.spread <= settings.gateways && a.first >= 0 && a.first < settings.gateways;
+  }
+  for (const auto& [hash, plan] : s.plans) {
+    good = good && plan >= 0 && plan < static_cast<std::int64_t>(settings.plans.size());
+  }
+  for (const auto& [hash, l] : s.ledgers) {
+    good = good && l.customer == hash && l.plan < settings.plans.size() && fits(l.level) &&
+           l.filled.count() <= now;
+    for (const auto& [gateway, claim] : l.claims) {
+      good = good && gateway >= 0 && gateway < settings.gateways && fits(claim.weight) && fits(claim.wanted);
+    }
+  }
+  for (const auto& server : s.servers) {
+    good = good && fits(server.latency) && fits(server.window) && server.window > 0 &&
+           fits(server.cold_tokens) && server.entry.state <= ServerState::gone;
+  }
+  return good;
+}
+
+}  // namespace
+
+std::string save(const Memory& memory) {
+  ModuleState state;
+  const auto& books = memory.books;
+  state.life = books.life;
+  state.started = books.started;
+  state.shunned_until = books.shunned_until;
+  state.served_recently = memory.served_recently;
+  state.hedge_tokens = memory.hedge_tokens;
+  state.budgets = memory.budgets;
+  for (const auto& [hash, a] : books.accounts) {
+    if (!a.plan) continue;
+    state.accounts[hash] = a;
+    state.plans[hash] = a.plan - books.plans.data();
+  }
+  state.ledgers = books.ledgers->all();
+  state.servers = memory.servers;
+  Writer out;
+  out(state);
+  return out.take();
+}
+
+std::optional<ModuleState> read(const std::string& bytes, const Settings& settings, Nanos now) {
+  ModuleState state;
+  Reader in(bytes);
+  in(state);
+  if (!in.whole() || !sane(state, settings, now)) return std::nullopt;
+  return state;
+}
+
+void take_up(ModuleState&& state, const Memory& memory) {
+  auto& books = memory.books;
+  books.started = state.started;
+  books.shunned_until = std::move(state.shunned_until);
+  memory.served_recently = state.served_recently;
+  memory.hedge_tokens = state.hedge_tokens;
+  memory.budgets = std::move(state.budgets);
+  books.accounts = std::move(state.accounts);
+  for (auto& [hash, a] : books.accounts) {
+    a.plan = &books.plans[static_cast<std::size_t>(state.plans.at(hash))];
+    if (a.asked > a.answered || a.news) books.busy.insert(hash);
+  }
+  books.ledgers->all() = std::move(state.ledgers);
+  memory.servers = std::move(state.servers);
+  for (std::size_t i = 0; i < memory.servers.size(); ++i) {
+    memory.by_id[memory.servers[i].entry.id] = static_cast<int>(i);
+  }
+}
+
+}  // namespace cranemux::handover
--- /dev/null
+++ b/src/handover/module_state.h
@@ -0,0 +1,89 @@
+// What one life of the decision module tells the next on the same machine: times are of the one steady clock.
+// What belongs to requests under way stays with the life that has them.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "handover/archive.h"
+#include "ledger/books.h"
+#include "pool/server.h"
+
+namespace cranemux::handover {
+
+struct ModuleState {
+  std::uint32_t life = 0;  // peers go on with the totals of this life
+  Nanos started = 0;
+  std::vector<Nanos> shunned_until;
+  double served_recently = 0, hedge_tokens = 0;
+  std::map<std::string, std::map<Nanos, int>> budgets;
+  std::map<std::uint32_t, ledger::Account> accounts;
+  std::map<std::uint32_t, std::int64_t> plans;  // of the accounts, by number; -1: none
+  std::map<std::uint32_t, ledger::Ledger> ledgers;
+  std::vector<pool::Server> servers;
+};
+
+}  // namespace cranemux::handover
+
+namespace cranemux::ledger {
+
+template <typename Io>
+void fields(Io& io, Account& a) {
+  io(a.hash, a.first, a.spread, a.level, a.sure, a.left, a.ceiling, a.filled, a.total, a.limit, a.asked,
+     a.answered, a.misses, a.news);
+}
+template <typename Io>
+void fields(Io& io, Claim& c) {
+  io(c.life, c.number, c.limit, c.used, c.weight, c.wanted, c.at);
+}
+template <typename Io>
+void fields(Io& io, Ledger& l) {
+  io(l.customer, l.plan, l.rate, l.burst, l.debt, l.level, l.filled, l.opened, l.heard, l.claims);
+}
+
+}  // namespace cranemux::ledger
+
+namespace cranemux {
+
+template <typename Io>
+void fields(Io& io, ServerEntry& e) {
+  io(e.id, e.zone, e.cell, e.state, e.weight, e.started);
+}
+
+}  // namespace cranemux
+
+namespace cranemux::pool {
+
+template <typename Io>
+void fields(Io& io, Server& s) {
+  io(s.entry, s.latency, s.window, s.last_ok_sent, s.cut_at, s.ejected_until, s.ejected_for, s.listed,
+     s.strikes, s.cold_tokens);
+}
+
+}  // namespace cranemux::pool
+
+namespace cranemux::handover {
+
+template <typename Io>
+void fields(Io& io, ModuleState& s) {
+  io(s.life, s.started, s.shunned_until, s.served_recently, s.hedge_tokens, s.budgets, s.accounts, s.plans,
+     s.ledgers, s.servers);
+}
+
+// The module's memory, wherever it stands.
+struct Memory {
+  ledger::Books& books;
+  double &served_recently, &hedge_tokens;
+  std::map<std::string, std::map<Nanos, int>>& budgets;
+  std::vector<pool::Server>& servers;
+  std::map<std::string, int>& by_id;  // their places
+};
+
+std::string save(const Memory& memory);
+// None: it is torn, or no module with these settings could have written it.
+std::optional<ModuleState> read(const std::string& bytes, const Settings& settings, Nanos now);
+void take_up(ModuleState&& state, const Memory& memory);
+
+}  // namespace cranemux::handover
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -47,15 +47,24 @@
 }
 
 bool Lifecycle::hand_over(Time now) {
-  if (stage_ == Stage::handing_over || stage_ == Stage::ending) return false;
-  stage_ = Stage::handing_over;
+  if (handed_over_) return false;
+  handed_over_ = true;
   since_ = now;
+  if (stage_ != Stage::ending) stage_ = Stage::handing_over;
+  return true;
+}
+
+bool Lifecycle::take_back(Time now) {
+  if (!handed_over_ || stage_ == Stage::ending) return false;
+  handed_over_ = false;
+  since_ = now;
+  stage_ = drained_ ? Stage::drained : Stage::serving;
   return true;
 }
 
 bool Lifecycle::end(Time now) {
   if (stage_ == Stage::ending) return false;
-  if (stage_ != Stage::handing_over) since_ = now;
+  if (!handed_over_) since_ = now;  // else its last channels are going already
   stage_ = Stage::ending;
   return true;
 }
@@ -63,6 +72,7 @@
 bool Lifecycle::past(Time now, milliseconds wait) const { return now - since_ >= wait; }
 
 bool Lifecycle::last_answer(Time now) const {
+  if (handed_over_) return true;  // new connections go to the new process
   switch (stage_) {
     case Stage::starting:
     case Stage::serving:
@@ -78,6 +88,7 @@
 }
 
 bool Lifecycle::closes_idle(Time now) const {
+  if (handed_over_) return past(now, kIdle);
   switch (stage_) {
     case Stage::starting:
     case Stage::serving:
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -18,9 +18,11 @@
   bool begin();                   // it can serve
   bool drain(bool on, Time now);  // the operators' word; an end or a hand-over is past undoing
   bool hand_over(Time now);       // a new process serves in its place
+  bool take_back(Time now);       // ... which has ended: it serves on, unless its own end has begun
   bool end(Time now);             // SIGTERM
 
   Stage stage() const { return stage_; }
+  bool handed_over() const { return handed_over_; }
   bool drained() const { return drained_; }  // by the operators, whatever else has come since
   // The one owner of what GET /health/ready says.
   bool ready() const { return stage_ == Stage::serving; }
@@ -35,7 +37,7 @@
   bool past(Time now, std::chrono::milliseconds wait) const;
 
   Stage stage_ = Stage::starting;
-  bool drained_ = false;
+  bool drained_ = false, handed_over_ = false;
   Time since_{};  // of this stage
 };
 
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -40,6 +40,7 @@
   Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
   Count management_calls = 0, management_evicted = 0;
+  Count handovers = 0, handovers_refused = 0, handover_dropped = 0, takeovers = 0;
 
   template <typename Visit>
   void each(Visit visit) const {
@@ -120,6 +121,10 @@
     visit("exports_dropped", self.exports_dropped);
     visit("management_calls", self.management_calls);
     visit("management_evicted", self.management_evicted);
+    visit("handovers", self.handovers);
+    visit("handovers_refused", self.handovers_refused);
+    visit("handover_dropped", self.handover_dropped);
+    visit("takeovers", self.takeovers);
   }
 };
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -4,6 +4,11 @@
 #include <array>
 
 namespace cranemux::peers {
+namespace {
+
+constexpr std::chrono::milliseconds kBindAgain{50};
+
+}  // namespace
 
 Line::Line(PeerLink& link, Tag tag, core::Core& core) : tag(tag), core(core), link_(link) {
   link_.lines_.push_back(this);
@@ -18,14 +23,46 @@
                    metrics::Counters& counters)
     : socket_(io), timer_(io), logger_(logger), counters_(counters) {
   for (const auto& peer : peers) peers_.push_back(net::endpoint<net::udp>(peer));
-  if (!listen) return;
-  const auto at = net::endpoint<net::udp>(*listen);
-  socket_.open(at.protocol());
-  socket_.bind(at);
+  if (listen) listen_ = net::endpoint<net::udp>(*listen);
+}
+
+void PeerLink::open(std::optional<int> inherited) {
+  if (inherited) {
+    socket_.assign(net::udp::v4(), *inherited);
+    socket_.non_blocking(true);
+    net::spawn(socket_.get_executor(), logger_, "peer messages", receive());
+  } else if (listen_) {
+    net::spawn(socket_.get_executor(), logger_, "peer messages", bind());
+  }
+}
+
+// The place may still be that of a process that is about to end.
+net::awaitable<void> PeerLink::bind() {
+  for (bool told = false;;) {
+    boost::system::error_code error;
+    socket_.open(listen_->protocol(), error);
+    if (!error) socket_.bind(*listen_, error);
+    if (!error) break;
+    socket_.close(error);
+    if (!std::exchange(told, true))
+      logger_.log(metrics::Level::warning, "peer_listen is taken: waits for it");
+    timer_.expires_after(kBindAgain);
+    const auto [stopped] = co_await timer_.async_wait(net::kResult);
+    if (stopped) co_return;
+  }
   socket_.non_blocking(true);
   net::spawn(socket_.get_executor(), logger_, "peer messages", receive());
 }
 
+void PeerLink::mute(bool muted) {
+  muted_ = muted;
+  boost::system::error_code ignored;
+  if (muted) socket_.cancel(ignored);
+  if (!muted && !hears_ && socket_.is_open()) {
+    net::spawn(socket_.get_executor(), logger_, "peer messages", receive());
+  }
+}
+
 void PeerLink::tag_messages(double datagrams_per_s) { bag_.emplace(datagrams_per_s); }
 
 std::unique_ptr<Line> PeerLink::join(const std::string& ledger, core::Core& core) {
@@ -34,7 +71,8 @@
 
 void PeerLink::tell(const Line& line, int to, const std::string& bytes) {
   const auto most = bag_ ? kMostTagged : kMostBytes;
-  if (!socket_.is_open() || to < 0 || static_cast<std::size_t>(to) >= peers_.size() || bytes.size() > most) {
+  if (!socket_.is_open() || muted_ || to < 0 || static_cast<std::size_t>(to) >= peers_.size() ||
+      bytes.size() > most) {
     ++counters_.peer_dropped;
     return;
   }
@@ -91,11 +129,12 @@
 
 net::awaitable<void> PeerLink::receive() {
   std::array<char, 2048> bytes{};
-  while (socket_.is_open()) {
+  if (std::exchange(hears_, true)) co_return;
+  while (socket_.is_open() && !muted_) {
     net::udp::endpoint from;
     const auto [error, count] =
         co_await socket_.async_receive_from(net::asio::buffer(bytes), from, net::kResult);
-    if (error == net::asio::error::operation_aborted) co_return;
+    if (error == net::asio::error::operation_aborted) break;
     if (error) continue;  // such as word that an earlier datagram found nobody
     const auto peer = std::find(peers_.begin(), peers_.end(), from);
     if (peer == peers_.end() || count > kMostBytes) {
@@ -104,6 +143,8 @@
     }
     received(static_cast<int>(peer - peers_.begin()), {bytes.data(), count});
   }
+  hears_ = false;
+  if (!muted_ && socket_.is_open()) mute(false);  // unmuted before it had noticed
 }
 
 }  // namespace cranemux::peers
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -40,10 +40,16 @@
   void tag_messages(double datagrams_per_s);
   std::unique_ptr<Line> join(const std::string& ledger, core::Core& core);
   void stop();
+  // Binds, or takes the socket over from another process. Where the place is still taken it asks again until
+  // it is free.
+  void open(std::optional<int> inherited);
+  void mute(bool muted);  // another process speaks and hears in its place
+  int socket() { return socket_.is_open() ? socket_.native_handle() : -1; }
 
  private:
   friend class Line;
   net::awaitable<void> receive();
+  net::awaitable<void> bind();
   void received(int from, std::string_view bytes);
   void tell(const Line& line, int to, const std::string& bytes);
   void send(int to, const std::string& bytes);
@@ -57,6 +63,8 @@
   std::vector<net::udp::endpoint> peers_;
   std::vector<Line*> lines_;  // of a tag that several have, the last is told
   std::optional<Mailbag> bag_;
+  std::optional<net::udp::endpoint> listen_;
+  bool muted_ = false, hears_ = false;
 };
 
 }  // namespace cranemux::peers
--- a/src/pool/node_list.cpp
+++ b/src/pool/node_list.cpp
@@ -18,6 +18,7 @@
 
 config::ResolverResult NodeList::told(const config::ResolverResult& result, bool whole) {
   if (whole) listed_.clear();
+  index_ = result.index;
   config::ResolverResult out{result.index, result.snapshot, {}};
   for (const auto& entry : result.entries) {
     if (entry.state == kLeft) {
@@ -32,6 +33,12 @@
   return out;
 }
 
+config::ResolverResult NodeList::list() const {
+  config::ResolverResult out{index_, true, {}};
+  for (const auto& [name, entry] : listed_) out.entries.push_back(entry);
+  return out;
+}
+
 std::optional<config::ResolverResult> NodeList::drain(const std::string& node, bool drained) {
   const auto at = listed_.find(node);
   if (at == listed_.end() || nodes_.contains(node) == drained) return std::nullopt;
--- a/src/pool/node_list.h
+++ b/src/pool/node_list.h
@@ -21,6 +21,7 @@
   std::optional<config::ResolverResult> drain(const std::string& node, bool drained);
   config::ResolverResult drain_all(bool drained);
 
+  config::ResolverResult list() const;  // as the source has it
   bool drained() const { return all_; }
   bool drained(const std::string& node) const { return all_ || nodes_.contains(node); }
   std::size_t usable() const;
@@ -30,6 +31,7 @@
   config::ListEntry seen(config::ListEntry entry) const;
 
   std::map<std::string, config::ListEntry> listed_;  // as the source has them
+  std::int64_t index_ = 0;                           // of the source's last word
   std::set<std::string> nodes_;                      // drained by the operator
   bool all_ = false;
 };
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -1,5 +1,7 @@
 #include "pool/pool.h"
 
+#include <algorithm>
+
 namespace cranemux::pool {
 namespace {
 
@@ -72,6 +74,13 @@
   config_ = config;
 }
 
+void Pool::lend_connections(std::size_t count) {
+  auto part = config_.connections;
+  part.guaranteed -= std::min(count, part.guaranteed * 3 / 4);
+  part.most -= std::min(count, part.most * 3 / 4);
+  connections_.alter(part);
+}
+
 void Pool::move_discovery(const config::Address& to) {
   config_.discovery = to;
   resolver_.move(to);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -51,8 +51,12 @@
 
   void alter(const config::PoolConfig& config);  // nodes, discovery's address and budgets, in place
   void move_discovery(const config::Address& to);
-  void leave();  // removed: finishes what it has taken. No other is taken.
-  bool over();   // has left, and nothing of it is at work any more
+  // A list that is newer than the configuration's; before the start.
+  void inherit(const config::ResolverResult& list) { config_.nodes = list; }
+  config::ResolverResult list() const { return nodes_.list(); }
+  void lend_connections(std::size_t count);  // to another process of this gatekeeper, for now
+  void leave();                              // removed: finishes what it has taken. No other is taken.
+  bool over();                               // has left, and nothing of it is at work any more
 
  private:
   void turn_soon() override;
--- a/testing/client.cpp
+++ b/testing/client.cpp
@@ -41,6 +41,26 @@
   }
 }
 
+void Client::flow(double per_s, milliseconds time, std::function<Ask(std::size_t)> make) {
+  ++open_;
+  const auto count = static_cast<std::size_t>(per_s * std::chrono::duration<double>(time).count());
+  net::spawn(stage_.io(), logger_, "client", pour(per_s, count, std::move(make)));
+}
+
+net::awaitable<void> Client::pour(double per_s, std::size_t count, std::function<Ask(std::size_t)> make) {
+  const std::weak_ptr<char> alive = alive_;
+  net::asio::steady_timer timer(stage_.io());
+  auto at = Clock::now();
+  for (std::size_t i = 0; i < count; ++i) {
+    at += std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(1 / per_s));
+    timer.expires_at(at);
+    co_await timer.async_wait(net::kResult);
+    if (alive.expired()) co_return;
+    send(make(i));
+  }
+  --open_;
+}
+
 bool Client::finish(milliseconds most) {
   return stage_.play_until([this] { return open_ == 0; }, most);
 }
--- a/testing/client.h
+++ b/testing/client.h
@@ -43,6 +43,8 @@
   std::string send(const Ask& ask);  // returns its request id
   // At an even pace: so many a second for so long, `make` says what the n-th is.
   void pace(double per_s, milliseconds time, const std::function<Ask(std::size_t)>& make);
+  // The same beside the test, which goes on at once; `finish` waits for it.
+  void flow(double per_s, milliseconds time, std::function<Ask(std::size_t)> make);
   std::size_t open() const { return open_; }
   const std::vector<Result>& results() const { return results_; }
   std::size_t count(int status) const;
@@ -53,6 +55,7 @@
 
  private:
   net::awaitable<void> exchange(Ask ask, std::string id);
+  net::awaitable<void> pour(double per_s, std::size_t count, std::function<Ask(std::size_t)> make);
 
   Stage& stage_;
   net::tcp::endpoint to_;
--- a/testing/program.cpp
+++ b/testing/program.cpp
@@ -67,7 +67,10 @@
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::dup2(out, 1);
   ::dup2(out, 2);
-  if (inherited >= 0) ::dup2(inherited, 4);
+  if (inherited >= 0) {
+    ::dup2(inherited, 4);
+    ::fcntl(4, F_SETFD, 0);
+  }
   ::close_range(inherited >= 0 ? 5 : 3, ~0U, 0);
   for (const auto* name : {"ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG",
                            "ROUTER_MANAGEMENT", "ROUTER_SOCKET_FD"})
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -172,7 +172,7 @@
   site.node("one").behaviour.delay = milliseconds(20);
   site.start();
   Client client(site.stage, site.port, &site.rules);
-  client.pace(100, milliseconds(1500), [](std::size_t i) { return i % 3 == 0 ? booking() : status_of(); });
+  client.flow(100, milliseconds(1500), [](std::size_t i) { return i % 3 == 0 ? booking() : status_of(); });
   site.stage.play(milliseconds(200));
   EXPECT_EQ(site.health(), 200);
   EXPECT_EQ(site.call("drain-on"), "done drained\n");
--- a/tests/lifecycle_test.cpp
+++ b/tests/lifecycle_test.cpp
@@ -69,6 +69,23 @@
   EXPECT_TRUE(life.last_answer(kStart + milliseconds(700)));
 }
 
+TEST(lifecycle, a_hand_over_that_fails_is_taken_back) {
+  Lifecycle life;
+  life.begin();
+  EXPECT_TRUE(life.hand_over(kStart));
+  EXPECT_FALSE(life.ready());
+  EXPECT_TRUE(life.last_answer(kStart));
+  EXPECT_TRUE(life.closes_idle(kStart + milliseconds(1000)));
+  EXPECT_TRUE(life.take_back(kStart + milliseconds(1000)));
+  EXPECT_TRUE(life.ready());
+  EXPECT_FALSE(life.last_answer(kStart + milliseconds(2000)));
+  // Not once its own end has begun.
+  EXPECT_TRUE(life.hand_over(kStart));
+  EXPECT_TRUE(life.end(kStart));
+  EXPECT_FALSE(life.take_back(kStart));
+  EXPECT_TRUE(life.closes_idle(kStart + milliseconds(1000)));
+}
+
 TEST(lifecycle, one_that_starts_drained_stays_so) {
   Lifecycle life;
   life.drain(true, kStart);
