--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -10,8 +10,14 @@
 using cranemux::Result;
 using net::Clock;
 constexpr std::chrono::seconds kSweep{1};
+constexpr std::chrono::milliseconds kDawdles{200};     // an answer of no told length is passed on as it comes
 constexpr std::chrono::milliseconds kDrainMargin{20};  // before the grace of a drain ends
 
+// Nobody knows how long it will be, and it takes its time. `since`: its first byte.
+bool dawdles(const http::Framing& framing, Clock::time_point since) {
+  return framing.kind != http::Framing::Kind::length && Clock::now() - since > kDawdles;
+}
+
 }  // namespace
 
 Attempts::Attempts(net::asio::io_context& io, core::Core& core, const Limits& limits,
@@ -243,7 +249,8 @@
   if (call.written) core_.attempt_written(call.rpc);
   http::Message answer;
   http::Verdict verdict;
-  std::size_t before = 0;  // bytes of 1xx answers, which come before the answer
+  Clock::time_point first{};  // byte of the answer
+  std::size_t before = 0;     // bytes of 1xx answers, which come before the answer
   connection.buffer.clear();
   while (!error && call.stop == Stop::none) {
     error = co_await net::read_some(socket, connection.buffer);
@@ -253,6 +260,7 @@
         payload.streams(answer)) {
       co_return begin_stream(call, answer);
     }
+    if (first == Clock::time_point{}) first = Clock::now();
     if (!error && connection.buffer.size() < verdict.need) continue;
     for (;;) {
       verdict = http::parse(connection.buffer, http::Kind::response, answer, error == net::asio::error::eof);
@@ -264,6 +272,16 @@
       }
       connection.buffer.erase(0, answer.size);
     }
+    // What does not fit, or dawdles, is passed on as it comes.
+    const bool too_long = verdict.state == http::State::bad && verdict.status == 413;
+    if (payload.may_be_long() && !error && (too_long || verdict.state == http::State::partial) &&
+        http::parse_head(connection.buffer, http::Kind::response, answer).state == http::State::whole) {
+      int status = 0;
+      const auto framing = http::framing(answer, http::Kind::response, status);
+      if (framing && answer.status == 200 && (too_long || dawdles(*framing, first))) {
+        co_return begin_long(call, answer, *framing);
+      }
+    }
     if (verdict.state != http::State::partial) break;
   }
   const bool whole = verdict.state == http::State::whole && call.stop == Stop::none;
@@ -295,6 +313,33 @@
   return result;
 }
 
+// For the module the attempt has ended well: the rest is between the worker and the client.
+core::AttemptResult Attempts::begin_long(Call& call, const http::Message& head,
+                                         const http::Framing& framing) {
+  auto result = static_cast<const Exchange&>(*call.payload).read(head);
+  result.body.clear();
+  const bool keep_alive = head.keep_alive && framing.kind != http::Framing::Kind::until_end;
+  auto& connection = *call.connection;
+  connection.buffer.erase(0, head.size);
+  auto up = std::make_shared<Upstream>(Upstream{std::move(connection.socket), std::move(connection.buffer),
+                                                framing.kind == http::Framing::Kind::chunked,
+                                                std::move(connection.lease), call.worker->entry.name});
+  up->framing = framing;
+  up->keep_alive = keep_alive;
+  up->payload = call.payload;
+  up->here = scope_.here();
+  up->give_back = [this, worker = call.worker, generation = call.worker->generation](Upstream& done) {
+    if (worker->entry.state == "left" || worker->generation != generation) return;
+    auto idle = std::make_unique<Connection>(
+        Connection{std::move(done.socket), {}, Clock::now(), std::move(done.lease)});
+    worker->idle.push_back(std::move(idle));
+  };
+  ++counters_.answers_relayed;
+  result.stream = std::move(up);
+  call.connection.reset();
+  return result;
+}
+
 net::awaitable<void> Attempts::sweep() {
   for (;;) {
     sweeper_.expires_after(kSweep);
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -25,17 +25,25 @@
   // result's stream is an Upstream.
   virtual bool streams(const http::Message&) const { return false; }
   virtual bool may_stream() const { return false; }
+  // May an answer be longer than is held? Then the result's stream is an Upstream, too, from its first bytes
+  // on.
+  virtual bool may_be_long() const { return false; }
   // What the gatekeeper answers itself, without a worker; nothing goes out then.
   virtual std::optional<core::AttemptResult> own_answer() const { return std::nullopt; }
 };
 
-// A connection on which an answer goes on: whoever takes it closes it.
+// A connection on which an answer goes on: whoever takes it closes it, or gives it back after its last byte.
 struct Upstream {
   net::tcp::socket socket;
   std::string buffer;  // what has come of the body
   bool chunked = false;
   pool::Lease lease;
   std::string node;
+  http::Framing framing = {};
+  bool keep_alive = false;
+  std::shared_ptr<const core::Payload> payload = {};  // its request is open until then
+  std::function<void(Upstream&)> give_back = {};
+  std::shared_ptr<void> here = {};  // of the attempts, which stay as long
 };
 
 struct Limits {
@@ -98,6 +106,7 @@
   net::awaitable<bool> open(Call& call);
   net::awaitable<core::AttemptResult> exchange(Call& call);
   core::AttemptResult begin_stream(Call& call, const http::Message& head);
+  core::AttemptResult begin_long(Call& call, const http::Message& head, const http::Framing& framing);
   std::unique_ptr<Connection> reuse(Worker& worker);
   core::AttemptResult broken(const Call& call) const;
   void limit(const std::shared_ptr<Call>& call, net::Clock::time_point at);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -231,7 +231,9 @@
 }
 
 void Core::finish(RpcId id, Rpc& rpc, FinalAnswer&& answer) {
-  if (answer.ending == Ending::served) ++counters_.rpcs_served, ++rpc.lane->completed;
+  if (answer.ending == Ending::served) ++counters_.rpcs_served;
+  if (answer.ending == Ending::served && !answer.stream) ++rpc.lane->completed;
+  answer.lane = rpc.lane;
   if (answer.ending == Ending::unavailable) ++counters_.rpcs_unavailable, ++rpc.lane->rejected;
   if (answer.ending == Ending::failed) ++counters_.rpcs_failed, ++rpc.lane->failed;
   if (answer.ending == Ending::unavailable) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -44,6 +44,7 @@
   Ending ending = Ending::failed;
   std::string body = {};              // served: the worker's
   std::shared_ptr<void> stream = {};  // served: what goes on, of a kind that front and attempts share
+  metrics::Lane* lane = nullptr;      // of a stream: whoever ends it counts how
   nanoseconds retry_after{};          // unavailable: when to come back
   nanoseconds left{};                 // unavailable: of the RPC's time
   bool out = false;                   // its call attempt may still be at work
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -58,11 +58,11 @@
       co_await rest.async_wait(net::kResult);
       break;
     }
-    if (in_.empty() && spoke_ && !waits_ && !writing_) since_ = net::Clock::now();
+    if (in_.empty() && spoke_ && !engaged()) since_ = net::Clock::now();
     in_.append(piece.data(), count);
     process();
     counted();
-    if ((waits_ || writing_) && in_.size() > kMostAhead) {
+    if (engaged() && in_.size() > kMostAhead) {
       paused_ = true;
       co_return;
     }
@@ -73,18 +73,19 @@
 }
 
 void HttpChannel::resume() {
-  if (broken_ || waits_ || writing_ || !std::exchange(paused_, false)) return;
+  if (broken_ || engaged() || !std::exchange(paused_, false)) return;
   net::spawn(socket_.get_executor(), server_.logger_, "channel", run());
 }
 
 void HttpChannel::process() {
   if (processing_) return;
   processing_ = true;
-  while (!waits_ && !writing_ && !last_ && !broken_ && !in_.empty() && in_.size() >= need_) {
+  while (!engaged() && !last_ && !broken_ && !in_.empty() && in_.size() >= need_) {
     http::Message message;
     auto verdict = http::parse(in_, http::Kind::request, message);
     need_ = verdict.need;
     if (verdict.state == http::State::partial) {
+      go_on(message);
       if (in_.size() <= http::kMostBuffer) break;
       verdict = {http::State::bad, 413, 0};
     }
@@ -96,6 +97,8 @@
       break;
     }
     last_ = !message.keep_alive;
+    old_ = message.version == "HTTP/1.0";
+    continued_ = false;
     waits_ = true;
     since_ = net::Clock::now();
     body_ = message.body.size();
@@ -125,6 +128,16 @@
   processing_ = false;
 }
 
+// A client that has asked whether to go on with its body is told so, once.
+void HttpChannel::go_on(const http::Message& message) {
+  const auto expects = message.field("Expect");
+  if (continued_ || message.size == 0 || !expects || !http::same_name(*expects, "100-continue")) return;
+  continued_ = true;
+  static constexpr std::string_view kGoOn = "HTTP/1.1 100 Continue\r\n\r\n";
+  boost::system::error_code error;
+  if (socket_.write_some(net::asio::buffer(kGoOn), error) != kGoOn.size()) cut();
+}
+
 // Whether this process runs, and whether clients should come: the lifecycle alone says the latter.
 Reply HttpChannel::health(std::string_view target) const {
   if (target != kReady || server_.lifecycle_.ready()) return {200, "ok\n", {}, "text/plain"};
@@ -150,9 +163,15 @@
   out_ += "\r\nContent-Type: ";
   out_ += reply.type;
   out_ += "\r\n";
+  chunks_ = false;
   if (reply.stream) {
-    last_ = true;  // its end is the channel's
+    const auto length = reply.stream->length();
+    chunks_ = reply.stream->bounded() && !length && !old_;
+    if (length) out_ += "Content-Length: " + std::to_string(*length) + "\r\n";
+    if (chunks_) out_ += "Transfer-Encoding: chunked\r\n";
+    if (!length && !chunks_) last_ = true;  // its end is the channel's
     stream_ = reply.stream;
+    stream_ends_ = false;
   } else {
     out_ += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
   }
@@ -180,15 +199,33 @@
 
 void HttpChannel::end_stream() {
   stream_ends_ = true;
-  if (!writing_ && !broken_) written();
+  if (writing_ || broken_) return;
+  written();
+  process();
+  counted();
+  resume();
 }
 
+bool HttpChannel::pressed() const { return server_.bytes_ > server_.limits_.bytes / 2; }
+
 void HttpChannel::drain() {
   if (const auto stream = stream_) return stream->drain();
   close_between_requests();
 }
 
-net::awaitable<void> HttpChannel::write_stream(std::shared_ptr<HttpChannel>) {
+// Most answers fit the socket's buffer and go at once; a coroutine writes the rest of others.
+void HttpChannel::write() {
+  boost::system::error_code error;
+  sent_ += socket_.write_some(net::asio::buffer(out_), error);
+  if (error && error != net::asio::error::would_block) return cut();
+  if (sent_ == out_.size()) return written();
+  writing_ = true;
+  since_ = net::Clock::now();
+  net::spawn(socket_.get_executor(), server_.logger_, "answer", write_rest(shared_from_this()));
+}
+
+// Whatever the client takes is progress.
+net::awaitable<void> HttpChannel::write_rest(std::shared_ptr<HttpChannel>) {
   while (sent_ < out_.size()) {
     const auto [error, count] = co_await socket_.async_write_some(
         net::asio::buffer(out_.data() + sent_, out_.size() - sent_), net::kResult);
@@ -202,37 +239,16 @@
     if (sent_ < out_.size()) continue;
     out_ = std::exchange(next_, {});
     sent_ = 0;
+    counted();
+    if (stream_ && out_.empty()) stream_->taken();
+    if (broken_) co_return;
+    if (out_.empty() && !next_.empty()) out_ = std::exchange(next_, {});  // sent by `taken`
   }
   writing_ = false;
   written();
+  process();
   counted();
-}
-
-// Most answers fit the socket's buffer and go at once; a coroutine writes the rest of others.
-void HttpChannel::write() {
-  boost::system::error_code error;
-  sent_ += socket_.write_some(net::asio::buffer(out_), error);
-  if (error && error != net::asio::error::would_block) return cut();
-  if (sent_ == out_.size()) return written();
-  writing_ = true;
-  since_ = net::Clock::now();
-  net::spawn(socket_.get_executor(), server_.logger_, "answer",
-             stream_ ? write_stream(shared_from_this()) : write_rest(shared_from_this()));
-}
-
-net::awaitable<void> HttpChannel::write_rest(std::shared_ptr<HttpChannel> self) {
-  const auto [error, count] = co_await net::asio::async_write(
-      self->socket_, net::asio::buffer(self->out_.data() + self->sent_, self->out_.size() - self->sent_),
-      net::kResult);
-  self->writing_ = false;
-  if (error || self->broken_) {
-    self->cut();
-    co_return;
-  }
-  self->written();
-  self->process();
-  self->counted();
-  self->resume();
+  resume();
 }
 
 void HttpChannel::written() {
@@ -242,6 +258,7 @@
   since_ = net::Clock::now();
   if (stream_ && !stream_ends_) return;
   stream_.reset();
+  stream_ends_ = false;
   if (last_) shut();
 }
 
@@ -278,6 +295,15 @@
   if (stream) stream->closed();
 }
 
+// Without a length a plain end would look like the whole answer.
+void HttpChannel::break_off() {
+  boost::system::error_code ignored;
+  if (stream_ && !stream_->length() && !chunks_) {
+    socket_.set_option(net::asio::socket_base::linger(true, 0), ignored);
+  }
+  cut();
+}
+
 void HttpChannel::counted() {
   if (broken_) return;
   place();
@@ -428,7 +454,8 @@
     const bool crowded = channels_.size() > most() / 2;
     for (auto* channel : channels()) {
       // None of those that follow is gone: only what times out itself leaves.
-      if (now - channel->since() >= time_limit(channel->state(), crowded)) channel->time_out();
+      if (now - channel->since() >= time_limit(channel->state(), crowded, channel->read()))
+        channel->time_out();
     }
   }
 }
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -31,6 +31,10 @@
   virtual void begin(std::shared_ptr<HttpChannel> channel) = 0;  // the head is on its way
   virtual void closed() = 0;                                     // the client has gone, or was cut
   virtual void drain() = 0;                                      // ends in order, soon
+  virtual void taken() {}  // all that was sent has been taken by the client
+  // Is one answer of known or chunked length, after which the channel goes on?
+  virtual bool bounded() const { return false; }
+  virtual std::optional<std::uint64_t> length() const { return std::nullopt; }
 };
 
 struct Reply {
@@ -54,23 +58,28 @@
   std::size_t unsent() const { return out_.size() - sent_ + next_.size(); }
   net::Clock::time_point took_last() const { return since_; }  // the client has taken something
   void end_stream();                                           // once all is sent
+  bool chunks() const { return chunks_; }                      // the stream's parts go as chunks
+  bool pressed() const;                                        // all channels together hold much
   void drain();  // a stream ends in order, an idle channel at once
 
   using State = ChannelState;
   State state() const;
+  std::size_t read() const { return in_.size(); }          // of a request that is not whole
   net::Clock::time_point since() const { return since_; }  // this state began
   std::size_t bytes() const { return in_.capacity() + out_.capacity() + next_.capacity() + body_; }
   void cut();
-  void time_out();  // its limit is over: says so, where the client has begun a request, and closes
-  bool evict();     // closes it at once, unless something has come on it that is not read yet
+  void break_off();  // in the middle of an answer, so that the client can tell
+  void time_out();   // its limit is over: says so, where the client has begun a request, and closes
+  bool evict();      // closes it at once, unless something has come on it that is not read yet
 
  private:
+  bool engaged() const { return waits_ || writing_ || stream_; }  // with a request, up to its answer's end
   void process();
+  void go_on(const http::Message& message);
   Reply health(std::string_view target) const;
   void reply(const Reply& reply);
   void write();
   net::awaitable<void> write_rest(std::shared_ptr<HttpChannel> self);
-  net::awaitable<void> write_stream(std::shared_ptr<HttpChannel> self);
   void written();
   void shut();
   void counted();
@@ -93,8 +102,10 @@
   bool spoke_ = false;  // has had an answer
   std::shared_ptr<StreamSource> stream_;
   std::string next_;  // of a stream, behind `out_`
-  bool stream_ends_ = false;
-  bool paused_ = false;  // holds enough; reads on once it has answered
+  bool stream_ends_ = false, chunks_ = false;
+  bool old_ = false;        // the client speaks HTTP/1.0
+  bool continued_ = false;  // has been told to go on with its body
+  bool paused_ = false;     // holds enough; reads on once it has answered
 };
 
 // A request as a front gets it.
--- a/src/front/graphql/graphql.cpp
+++ b/src/front/graphql/graphql.cpp
@@ -360,6 +360,7 @@
 Reply GraphqlFront::answer_as(core::FinalAnswer&& answer, const Context& asked,
                               const std::optional<cranemux::Allowance>& store) {
   if (answer.stream && asked.subscriber) {
+    if (answer.lane) ++answer.lane->completed;  // once it is open
     auto up = std::static_pointer_cast<attempt::Upstream>(std::move(answer.stream));
     auto made = std::make_shared<Subscription>(std::move(*asked.subscriber), std::move(up), core_, counters_);
     std::erase_if(open_, [](const auto& weak) { return weak.expired(); });
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "front/body_relay.h"
 #include "front/fields.h"
 
 namespace cranemux::front {
@@ -50,6 +51,8 @@
     return out.append("\r\n\r\n").append(body_);
   }
 
+  bool may_be_long() const override { return true; }
+
   core::AttemptResult read(const http::Message& answer) const override {
     core::AttemptResult result;
     const bool declined = answer.field("Srv-Declined").value_or("") == "1";
@@ -95,8 +98,11 @@
   return load;
 }
 
-PlatformFront::PlatformFront(core::Core& core, std::vector<std::string> load_fields)
-    : core_(core), load_fields_(std::make_shared<const std::vector<std::string>>(std::move(load_fields))) {}
+PlatformFront::PlatformFront(core::Core& core, std::vector<std::string> load_fields,
+                             metrics::Counters& counters)
+    : core_(core),
+      counters_(counters),
+      load_fields_(std::make_shared<const std::vector<std::string>>(std::move(load_fields))) {}
 
 Handled PlatformFront::request(const Incoming& incoming) {
   const auto& message = incoming.message;
@@ -129,6 +135,12 @@
 }
 
 Reply PlatformFront::answer(core::FinalAnswer&& answer, const std::shared_ptr<void>&) {
+  if (answer.ending == core::Ending::served && answer.stream) {
+    auto up = std::static_pointer_cast<attempt::Upstream>(std::move(answer.stream));
+    Reply reply;
+    reply.stream = std::make_shared<BodyRelay>(std::move(up), answer.lane, counters_);
+    return reply;
+  }
   if (answer.ending == core::Ending::served) return {200, std::move(answer.body)};
   if (answer.ending == core::Ending::failed) return {502, {}};
   return front::unavailable(answer.retry_after);
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -12,7 +12,7 @@
 
 class PlatformFront : public Front {
  public:
-  PlatformFront(core::Core& core, std::vector<std::string> load_fields);
+  PlatformFront(core::Core& core, std::vector<std::string> load_fields, metrics::Counters& counters);
   Handled request(const Incoming& incoming) override;
   Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) override;
   Reply malformed(int status) override;
@@ -25,6 +25,7 @@
 
  private:
   core::Core& core_;
+  metrics::Counters& counters_;
   std::unordered_set<std::string> elsewhere_;
   std::shared_ptr<const std::vector<std::string>> load_fields_;
   // Ids of RPCs that are in flight, kept by their payloads.
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -48,7 +48,7 @@
                                          const std::optional<front::GraphqlSetup>& graphql,
                                          metrics::Counters& counters) {
   if (graphql) return std::make_unique<front::GraphqlFront>(core, *graphql, counters);
-  return std::make_unique<front::PlatformFront>(core, load_fields);
+  return std::make_unique<front::PlatformFront>(core, load_fields, counters);
 }
 
 }  // namespace
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -131,12 +131,14 @@
   return {State::whole, 0, 0};
 }
 
-Verdict parse(std::string_view buffer, Kind kind, Message& out, bool ended) {
-  const auto head = parse_head(buffer, kind, out);
-  if (head.state != State::whole) return head;
-  std::optional<std::size_t> length;
+std::optional<Framing> framing(const Message& head, Kind kind, int& status) {
+  std::optional<std::uint64_t> length;
   bool chunked = false;
-  for (const auto& [name, value] : out.fields) {
+  const auto bad = [&](int with) {
+    status = with;
+    return std::nullopt;
+  };
+  for (const auto& [name, value] : head.fields) {
     if (same_name(name, "Content-Length")) {
       const auto told = number(value, 10);
       if (!told || (length && *length != *told)) return bad(400);
@@ -147,9 +149,21 @@
     }
   }
   if (chunked && length) return bad(400);  // two lengths: a smuggled request
-  if (length && *length > kMostBody) return bad(413);
-  const bool no_body = kind == Kind::response && (out.status < 200 || out.status == 204 || out.status == 304);
-  if (chunked) {
+  if (kind == Kind::response && (head.status < 200 || head.status == 204 || head.status == 304))
+    return Framing{};
+  if (chunked) return Framing{Framing::Kind::chunked};
+  if (length) return Framing{Framing::Kind::length, *length};
+  return kind == Kind::response ? Framing{Framing::Kind::until_end} : Framing{};
+}
+
+Verdict parse(std::string_view buffer, Kind kind, Message& out, bool ended) {
+  const auto head = parse_head(buffer, kind, out);
+  if (head.state != State::whole) return head;
+  int status = 400;
+  const auto framed = framing(out, kind, status);
+  if (!framed) return bad(status);
+  if (framed->length > kMostBody) return bad(413);
+  if (framed->kind == Framing::Kind::chunked) {
     out.chunked_body.clear();
     auto at = out.size;
     const auto verdict = chunks(buffer, at, out.chunked_body);
@@ -159,19 +173,77 @@
     }
     return verdict;
   }
-  if (kind == Kind::response && !length && !no_body) {  // ends with the connection
+  auto body = static_cast<std::size_t>(framed->length);
+  if (framed->kind == Framing::Kind::until_end) {
     out.keep_alive = false;
     if (buffer.size() - out.size > kMostBody) return bad(413);
     if (!ended) return {State::partial, 0, buffer.size() + 1};
-    length = buffer.size() - out.size;
+    body = buffer.size() - out.size;
   }
-  const auto body = no_body ? 0 : length.value_or(0);
   if (buffer.size() - out.size < body) return {State::partial, 0, out.size + body};
   out.body = buffer.substr(out.size, body);
   out.size += body;
   return {State::whole, 0, 0};
 }
 
+BodyReader::State BodyReader::take(std::string& in, std::string& out, bool ended) {
+  if (framing_.kind == Framing::Kind::chunked) return take_chunked(in, out, ended);
+  if (framing_.kind == Framing::Kind::until_end) {
+    out += in;
+    in.clear();
+    return ended ? State::done : State::more;
+  }
+  const auto count = static_cast<std::size_t>(std::min<std::uint64_t>(left_, in.size()));
+  out.append(in, 0, count);
+  in.erase(0, count);
+  left_ -= count;
+  if (left_ == 0) return State::done;
+  return ended ? State::bad : State::more;
+}
+
+bool BodyReader::size_line(std::string_view line) {
+  const auto size = number(trim(line.substr(0, line.find(';'))), 16);
+  if (!size) return false;
+  left_ = *size;
+  part_ = left_ > 0 ? Part::data : Part::trailer;
+  return true;
+}
+
+BodyReader::State BodyReader::take_chunked(std::string& in, std::string& out, bool ended) {
+  std::size_t at = 0;
+  auto state = State::more;
+  while (state == State::more) {
+    if (part_ == Part::data) {
+      const auto count = static_cast<std::size_t>(std::min<std::uint64_t>(left_, in.size() - at));
+      out.append(in, at, count);
+      at += count;
+      left_ -= count;
+      if (left_ > 0) break;
+      part_ = Part::end;
+    }
+    const auto end = in.find("\r\n", at);
+    if (end == std::string::npos) {
+      const auto most = part_ == Part::end ? 1 : part_ == Part::size ? kMostChunkLine : kMostHead;
+      if (in.size() - at > most) state = State::bad;
+      break;
+    }
+    const auto line = std::string_view(in).substr(at, end - at);
+    at = end + 2;
+    if (part_ == Part::trailer) {  // read and dropped
+      trailers_ += line.size();
+      if (line.empty()) state = State::done;
+      if (trailers_ > kMostHead) state = State::bad;
+    } else if (part_ == Part::end) {
+      if (!line.empty()) state = State::bad;
+      part_ = Part::size;
+    } else if (!size_line(line)) {
+      state = State::bad;
+    }
+  }
+  in.erase(0, at);
+  return state == State::more && ended ? State::bad : state;
+}
+
 bool take_chunks(std::string& in, std::string& out, bool& done) {
   std::size_t at = 0;
   for (;;) {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 messages: finds a whole one at the start of a buffer that fills in pieces.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,38 @@
 Verdict parse(std::string_view buffer, Kind kind, Message& out, bool ended = false);
 Verdict parse_head(std::string_view buffer, Kind kind, Message& out);  // `size` is the head's
 
+// How a message's body is bounded.
+struct Framing {
+  enum class Kind { none, length, chunked, until_end };
+  Kind kind = Kind::none;
+  std::uint64_t length = 0;
+  bool operator==(const Framing&) const = default;
+};
+// Of a message whose head has been read. None: it is ambiguous or not known here, and `status` says what to
+// answer.
+std::optional<Framing> framing(const Message& head, Kind kind, int& status);
+
+// Reads a body of any size as it comes.
+class BodyReader {
+ public:
+  enum class State { more, done, bad };
+  explicit BodyReader(const Framing& framing)
+      : framing_(framing), left_(framing.kind == Framing::Kind::length ? framing.length : 0) {}
+  // Moves data from the start of `in` to the end of `out`. What comes after the body stays in `in`.
+  // `ended`: nothing more will come.
+  State take(std::string& in, std::string& out, bool ended = false);
+
+ private:
+  enum class Part { size, data, end, trailer };  // of a chunk
+  State take_chunked(std::string& in, std::string& out, bool ended);
+  bool size_line(std::string_view line);
+
+  const Framing framing_;
+  std::uint64_t left_;  // of the body, or of the chunk
+  Part part_ = Part::size;
+  std::size_t trailers_ = 0;
+};
+
 // Moves the data of whole chunks from `in` (erased there) to `out`. `done` at the last chunk. False: damaged.
 bool take_chunks(std::string& in, std::string& out, bool& done);
 
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -40,6 +40,7 @@
   Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
   Count management_calls = 0, management_evicted = 0;
+  Count answers_relayed = 0, answers_broken_off = 0, bodies_relayed = 0;
   Count handovers = 0, handovers_refused = 0, handover_dropped = 0, takeovers = 0;
 
   template <typename Visit>
@@ -121,6 +122,9 @@
     visit("exports_dropped", self.exports_dropped);
     visit("management_calls", self.management_calls);
     visit("management_evicted", self.management_evicted);
+    visit("answers_relayed", self.answers_relayed);
+    visit("answers_broken_off", self.answers_broken_off);
+    visit("bodies_relayed", self.bodies_relayed);
     visit("handovers", self.handovers);
     visit("handovers_refused", self.handovers_refused);
     visit("handover_dropped", self.handover_dropped);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -51,6 +51,7 @@
     net::spawn(std::forward<Executor>(executor), logger, what, std::move(work), here_);
   }
   bool empty() const { return here_.use_count() == 1; }
+  std::shared_ptr<void> here() const { return here_; }  // counts as one that is at work
 
  private:
   std::shared_ptr<char> here_ = std::make_shared<char>();
