--- a/src/front/body_relay.cpp
+++ b/src/front/body_relay.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t kPiece = 16 * 1024;
+constexpr int kKernel = 128 * 1024;
 constexpr std::size_t kMostUnsent = 48 * 1024, kMostPressed = 4 * 1024;  // past it the worker waits
 // Neither side has moved for so long: it is dead, not slow.
 constexpr std::chrono::seconds kSilence{10};
@@ -27,6 +28,10 @@
 
 void BodyRelay::begin(std::shared_ptr<HttpChannel> channel) {
   channel_ = std::move(channel);
+  // The kernel's own buffers would hold megabytes for each.
+  boost::system::error_code ignored;
+  up_->socket.set_option(net::asio::socket_base::receive_buffer_size(kKernel), ignored);
+  channel_->bound_kernel(kKernel);
   net::asio::co_spawn(up_->socket.get_executor(), pump(shared_from_this()), net::asio::detached);
 }
 
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -295,6 +295,11 @@
   if (stream) stream->closed();
 }
 
+void HttpChannel::bound_kernel(int bytes) {
+  boost::system::error_code ignored;
+  socket_.set_option(net::asio::socket_base::send_buffer_size(bytes), ignored);
+}
+
 // Without a length a plain end would look like the whole answer.
 void HttpChannel::break_off() {
   boost::system::error_code ignored;
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -68,6 +68,7 @@
   net::Clock::time_point since() const { return since_; }  // this state began
   std::size_t bytes() const { return in_.capacity() + out_.capacity() + next_.capacity() + body_; }
   void cut();
+  void bound_kernel(int bytes);  // what the kernel holds of its answers
   void break_off();  // in the middle of an answer, so that the client can tell
   void time_out();   // its limit is over: says so, where the client has begun a request, and closes
   bool evict();      // closes it at once, unless something has come on it that is not read yet
--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -64,6 +64,7 @@
     if (error || alive.expired()) co_return;
     boost::system::error_code ignored;
     socket.set_option(net::tcp::no_delay(true), ignored);
+    ++connections_;
     auto talk = std::make_shared<Talk>(std::move(socket));
     talks_[talk.get()] = talk;
     net::spawn(stage_.io(), logger_, "stand-in node", serve(std::move(talk)));
@@ -141,6 +142,11 @@
     talk.socket.set_option(net::asio::socket_base::linger(true, 0));
     co_return false;
   }
+  if (const auto bytes = raw ? raw(message) : std::nullopt) {
+    const auto [error, count] =
+        co_await net::asio::async_write(talk.socket, net::asio::buffer(*bytes), net::kResult);
+    co_return !error && !raw_ends;
+  }
   std::string out = "HTTP/1.1 200 OK\r\n";
   if (act.answer == Answer::error) out = "HTTP/1.1 500 Internal Server Error\r\n";
   if (act.answer == Answer::declined) out = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\n";
--- a/testing/node.h
+++ b/testing/node.h
@@ -53,7 +53,11 @@
   std::function<std::string(const http::Message&)> body;  // of a good answer
   std::function<std::string(const http::Message&)> id;    // of a request: its Req-Id, where nothing is set
   std::function<std::optional<Events>(const http::Message&)> events;  // none: an answer as ever
-  void close();  // stops listening, and breaks all connections
+  // Bytes that are sent instead of an answer, as they are; then the connection ends where `raw_ends`.
+  std::function<std::optional<std::string>(const http::Message&)> raw;
+  bool raw_ends = false;
+  std::size_t connections() const { return connections_; }  // that have come so far
+  void close();                                             // stops listening, and breaks all connections
 
   std::size_t taken() const { return taken_; }  // requests whose last byte has come
   const std::map<std::string, std::size_t>& runs() const { return runs_; }  // by request id
@@ -74,7 +78,7 @@
   net::tcp::acceptor acceptor_;
   metrics::Logger logger_;
   std::map<Talk*, std::weak_ptr<Talk>> talks_;
-  std::size_t taken_ = 0;
+  std::size_t taken_ = 0, connections_ = 0;
   std::map<std::string, std::size_t> runs_;
   std::string last_target_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
--- /dev/null
+++ b/tests/bulk_test.cpp
@@ -0,0 +1,288 @@
+// Long answers and slow clients: what flows through, what is held, and what either side is told when the
+// other breaks off.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <deque>
+
+#include "http/http.h"
+#include "testing/site.h"
+
+namespace cranemux::testing {
+namespace {
+
+constexpr std::size_t kMega = 1024 * 1024;
+
+std::string pattern(std::size_t size) {
+  std::string out(size, '\0');
+  std::uint32_t random = static_cast<std::uint32_t>(size);
+  for (auto& c : out) c = static_cast<char>((random = random * 1664525U + 1013904223U) >> 24U);
+  return out;
+}
+
+std::string chunked(const std::string& data, std::size_t piece) {
+  std::string out;
+  for (std::size_t at = 0; at < data.size(); at += piece) {
+    const auto part = data.substr(at, piece);
+    char size[20];
+    std::snprintf(size, sizeof size, "%zX;x=y\r\n", part.size());
+    out += size + part + "\r\n";
+  }
+  return out + "0\r\nSome: trailer\r\n\r\n";
+}
+
+std::string request(const std::string& id, const std::string& more = {}, bool safe = true,
+                    const char* version = "1.1") {
+  return std::string(safe ? "GET" : "POST") + " /api HTTP/" + version + "\r\nHost: a\r\nReq-Id: " + id +
+         "\r\nReq-Kind: " + (safe ? "job-status" : "book-job") +
+         "\r\nX-Tier: business\r\nCookie: client=0000000000000001\r\nReq-Deadline-Ms: 4000\r\n"
+         "X-Call-Terms: units=1,spread=1,first=0\r\n" +
+         more + "\r\n";
+}
+
+// A client's connection that reads when the test says so.
+class Wire {
+ public:
+  Wire(Stage& stage, int port) : stage_(stage), socket_(stage.io(), net::tcp::v4()) {
+    socket_.set_option(net::asio::socket_base::receive_buffer_size(64 * 1024));
+    socket_.connect({net::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)});
+    socket_.set_option(net::tcp::no_delay(true));
+    socket_.non_blocking(true);
+  }
+  void send(std::string_view text) {
+    while (!text.empty()) {
+      boost::system::error_code error;
+      const auto count = socket_.write_some(net::asio::buffer(text), error);
+      if (error && error != net::asio::error::would_block) return;
+      text.remove_prefix(error ? 0 : count);
+      if (!text.empty()) stage_.play(milliseconds(1));
+    }
+  }
+  // Reads at most so much; false once the connection has ended.
+  bool read(std::size_t most = 256 * 1024) {
+    std::string piece(most, '\0');
+    boost::system::error_code error;
+    const auto count = socket_.read_some(net::asio::buffer(piece), error);
+    if (!error) in.append(piece, 0, count);
+    if (error == net::asio::error::would_block) stage_.play(milliseconds(1));
+    return !error || error == net::asio::error::would_block;
+  }
+  // A whole answer: its head and its body. False: it was not whole.
+  bool answer(std::string& body, std::size_t most = 256 * 1024) {
+    body.clear();
+    while (http::parse_head(in, http::Kind::response, head).state != http::State::whole) {
+      if (!read(most)) return false;
+    }
+    status = head.status;
+    int ignored = 0;
+    const auto framing = http::framing(head, http::Kind::response, ignored);
+    keeps = head.keep_alive;
+    in.erase(0, head.size);
+    http::BodyReader reader(*framing);
+    for (auto state = reader.take(in, body); state != http::BodyReader::State::done;) {
+      const bool open = read(most);
+      state = reader.take(in, body, !open);
+      if (!open) return state == http::BodyReader::State::done;
+    }
+    return true;
+  }
+  void close() { socket_.close(); }
+
+  std::string in;
+  http::Message head;
+  int status = 0;
+  bool keeps = false;
+
+ private:
+  Stage& stage_;
+  net::tcp::socket socket_;
+};
+
+class bulk : public ::testing::Test {
+ protected:
+  bulk() : site(std::getenv("CRANEMUX_PROGRAM")) { node(); }
+  Node& node() { return site.node("one"); }
+  void TearDown() override { EXPECT_TRUE(site.life().program->alive()) << site.log(0); }
+  long count(const std::string& result) {
+    return site.figure("router_downstream_requests{lane=\"job-status\",result=\"" + result + "\"}");
+  }
+  Site site;
+};
+
+TEST_F(bulk, long_answers_in_every_framing) {
+  const auto data = pattern(3 * kMega + 17);
+  std::string told;
+  node().raw = [&](const auto&) { return std::optional(told); };
+  site.start();
+  Wire wire(site.stage, site.port);
+  std::string body;
+  const auto ask = [&](const std::string& id, const std::string& answer) {
+    told = answer;
+    wire.send(request(id));
+    return wire.answer(body);
+  };
+  const auto length = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(data.size()) + "\r\n\r\n" + data;
+  ASSERT_TRUE(ask("a", length));
+  EXPECT_EQ(body, data);
+  ASSERT_TRUE(ask("b", "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                           chunked(data, 70'001)));
+  EXPECT_EQ(body, data);
+  ASSERT_TRUE(ask("c", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(data, 5)));
+  EXPECT_EQ(body, data);
+  // All of that on one channel, and on one connection to the worker.
+  EXPECT_EQ(node().connections(), 1U);
+  node().raw_ends = true;
+  ASSERT_TRUE(ask("d", "HTTP/1.1 200 OK\r\n\r\n" + data));
+  EXPECT_EQ(body, data);
+  node().raw_ends = false;
+  ASSERT_TRUE(ask("e", length));
+  EXPECT_EQ(body, data);
+  EXPECT_EQ(node().connections(), 2U);
+  // A client of HTTP/1.0 knows no chunks: the end of its connection is the answer's.
+  told = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(data, 9999);
+  Wire old(site.stage, site.port);
+  old.send(request("f", {}, true, "1.0"));
+  ASSERT_TRUE(old.answer(body));
+  EXPECT_EQ(body, data);
+  EXPECT_FALSE(old.head.field("Transfer-Encoding").has_value());
+  EXPECT_EQ(count("completed"), 6);
+  EXPECT_EQ(site.figure("router_pending"), 0);
+}
+
+// The next request on a channel waits for the end of a long answer.
+TEST_F(bulk, pipelined_behind_a_long_answer) {
+  const auto data = pattern(kMega);
+  node().body = [&](const http::Message& message) {
+    return message.field("Req-Id") == "long" ? data : std::string("short");
+  };
+  site.start();
+  Wire wire(site.stage, site.port);
+  wire.send(request("long") + request("next") + request("last"));
+  std::string body;
+  ASSERT_TRUE(wire.answer(body, 10'000));
+  EXPECT_EQ(body, data);
+  ASSERT_TRUE(wire.answer(body));
+  EXPECT_EQ(body, "short");
+  ASSERT_TRUE(wire.answer(body));
+  EXPECT_EQ(body, "short");
+}
+
+TEST_F(bulk, a_worker_that_breaks_off) {
+  const auto data = pattern(kMega);
+  std::string told;
+  node().raw = [&](const auto&) { return std::optional(told); };
+  node().raw_ends = true;
+  site.start();
+  std::string body;
+  for (const auto& [version, answer] :
+       {std::pair("1.1", "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + data),
+        std::pair("1.1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n" + data),
+        std::pair("1.1",
+                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" + data + "\r\nzz\r\n"),
+        std::pair("1.0", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n" + data)}) {
+    told = answer;
+    Wire wire(site.stage, site.port);
+    wire.send(request("r" + std::to_string(body.size()), {}, true, version));
+    if (std::string(version) == "1.1") {
+      EXPECT_FALSE(wire.answer(body)) << answer.substr(0, 60);
+    } else {  // no framing: the connection is reset, not ended
+      bool open = true;
+      while (open) open = wire.read();
+      EXPECT_NE(wire.in, "");
+    }
+  }
+  EXPECT_EQ(count("failed"), 4);
+  EXPECT_EQ(count("completed"), 0);
+  EXPECT_EQ(site.figure("router_pending"), 0);
+}
+
+// Two hundred readers that take nothing for a while: the worker waits, and little is held.
+TEST_F(bulk, slow_readers_hold_little) {
+  const auto data = pattern(4 * kMega);
+  node().body = [&](const auto&) { return data; };
+  site.limits = "{\"sockets\":1024,\"memory_mb\":48}";
+  site.start();
+  std::string body;
+  {
+    Wire warm(site.stage, site.port);
+    warm.send(request("warm"));
+    ASSERT_TRUE(warm.answer(body));
+  }
+  const auto before = site.life().program->resident_kb();
+  std::deque<Wire> wires;
+  // Not all at once: the windows of the module let a few out for each worker.
+  for (int i = 0; i < 60; ++i) {
+    wires.emplace_back(site.stage, site.port);
+    wires.back().send(request("s" + std::to_string(i)));
+    ASSERT_TRUE(site.stage.play_until(
+        [&] { return site.figure("router_upstream_requests{lane=\"job-status\"}") >= i + 1; }));
+  }
+  site.stage.play(milliseconds(300));
+  EXPECT_LT(site.life().program->resident_kb() - before, 24 * 1024);  // of 240 MB that are on their way
+  EXPECT_EQ(site.figure("router_pending"), 60);
+  for (auto& wire : wires) {
+    ASSERT_TRUE(wire.answer(body)) << "status " << wire.status;
+    EXPECT_TRUE(wire.status != 200 || body == data);
+  }
+  EXPECT_EQ(site.figure("router_pending"), 0);
+}
+
+TEST_F(bulk, a_client_that_leaves_frees_the_worker) {
+  const auto data = pattern(16 * kMega);
+  node().body = [&](const auto&) { return data; };
+  site.start();
+  Wire wire(site.stage, site.port);
+  wire.send(request("gone"));
+  while (wire.in.size() < 100'000) ASSERT_TRUE(wire.read());
+  EXPECT_EQ(site.figure("router_pending"), 1);
+  wire.close();
+  EXPECT_TRUE(site.stage.play_until([&] { return site.figure("router_pending") == 0; }));
+  EXPECT_EQ(count("completed") + count("failed"), 0);
+  node().body = {};
+  Wire next(site.stage, site.port);
+  next.send(request("next"));
+  std::string body;
+  ASSERT_TRUE(next.answer(body));
+  EXPECT_EQ(next.status, 200);
+}
+
+// A head that takes seconds, and a body that comes slowly, are served; one that stops is not waited for.
+TEST_F(bulk, slow_is_not_dead) {
+  site.start();
+  Wire slow(site.stage, site.port), stopped(site.stage, site.port);
+  const auto text = request("slow", "Content-Length: 60000\r\n", false);
+  const auto body = pattern(60'000);
+  slow.send(text.substr(0, 20));
+  stopped.send(request("stopped", "Content-Length: 60000\r\n", false) + body.substr(0, 100));
+  site.stage.play(milliseconds(2000));
+  slow.send(text.substr(20));
+  for (std::size_t at = 0; at < body.size(); at += 4000) {
+    slow.send(std::string_view(body).substr(at, 4000));
+    site.stage.play(milliseconds(60));
+  }
+  std::string answer;
+  ASSERT_TRUE(slow.answer(answer));
+  EXPECT_EQ(slow.status, 200);
+  ASSERT_TRUE(stopped.answer(answer));
+  EXPECT_EQ(stopped.status, 408);
+}
+
+TEST_F(bulk, a_client_that_asks_whether_to_go_on) {
+  site.start();
+  Wire wire(site.stage, site.port);
+  wire.send(request("asks", "Content-Length: 4\r\nExpect: 100-continue\r\n", false));
+  while (wire.in.find("\r\n\r\n") == std::string::npos) ASSERT_TRUE(wire.read());
+  EXPECT_EQ(wire.in, "HTTP/1.1 100 Continue\r\n\r\n");
+  wire.in.clear();
+  wire.send("book");
+  std::string body;
+  ASSERT_TRUE(wire.answer(body));
+  EXPECT_EQ(wire.status, 200);
+  // One that does not wait for it is not told.
+  wire.send(request("sure", "Content-Length: 4\r\nExpect: 100-continue\r\n", false) + "book");
+  ASSERT_TRUE(wire.answer(body));
+  EXPECT_EQ(wire.status, 200);
+}
+
+}  // namespace
+}  // namespace cranemux::testing
