--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -278,7 +278,8 @@
         http::parse_head(connection.buffer, http::Kind::response, answer).state == http::State::whole) {
       int status = 0;
       const auto framing = http::framing(answer, http::Kind::response, status);
-      if (framing && answer.status == 200 && (too_long || dawdles(*framing, first))) {
+      if (framing && framing->length <= http::kMostLong && answer.status == 200 &&
+          (too_long || dawdles(*framing, first))) {
         co_return begin_long(call, answer, *framing);
       }
     }
--- a/src/front/channel_policy.cpp
+++ b/src/front/channel_policy.cpp
@@ -8,7 +8,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSilent{2000};    // for the first byte of the first request, and idle in a crowd
-constexpr milliseconds kReading{3000};   // for a request's head; for the first one, from the connection on
+constexpr milliseconds kReading{2700};   // for a request's head; for the first one, from the connection on
 constexpr std::size_t kLeastPerMs = 32;  // bytes, of what comes after it
 constexpr milliseconds kIdle{30'000};    // between requests, while there is room
 constexpr milliseconds kWriting{8000};   // in which a client takes nothing of its answer
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kMostHead = 16 * 1024;
 constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::uint64_t kMostLong = 64 * 1024 * 1024;  // told of a body that is passed on as it comes
 constexpr std::size_t kMostBuffer = kMostHead + 2 * kMostBody;
 
 enum class Kind { request, response };
--- a/tests/channel_policy_test.cpp
+++ b/tests/channel_policy_test.cpp
@@ -37,6 +37,9 @@
   EXPECT_EQ(time_limit(ChannelState::silent, false), milliseconds(2000));
   EXPECT_LT(time_limit(ChannelState::reading, false),
             milliseconds(3000));  // bad clients are owed a word by then
+  // Slow is not dead: what has come of a body gives time for more, at 32 bytes a ms.
+  EXPECT_EQ(time_limit(ChannelState::reading, false, 32'000) - time_limit(ChannelState::reading, false),
+            milliseconds(1000));
   EXPECT_GT(time_limit(ChannelState::waiting, true), milliseconds(3'600'000));
 }
 
