--- a/testing/site.cpp
+++ b/testing/site.cpp
@@ -33,11 +33,13 @@
 Site::Site(std::string binary, bool inherits) : binary(std::move(binary)), port(free_port()) {
   if (!inherits) return;
   socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const auto at = loopback(port);
+  auto at = loopback(0);
+  socklen_t size = sizeof at;
   if (::bind(socket_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
-      ::listen(socket_, 128) != 0) {
+      ::listen(socket_, 128) != 0 || ::getsockname(socket_, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
     throw std::runtime_error("no socket for clients");
   }
+  port = ntohs(at.sin_port);
 }
 
 Site::~Site() {
