--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -124,6 +124,10 @@
   double units = 1;
   int first = 0, spread = 1;  // the customer's own front doors: `spread` in a row from `first`
   bool repeat = false;        // known to be a client's repeat
+  bool uploading = false;     // a part of its body has yet to come; its time begins with Uploaded
+};
+struct Uploaded {
+  std::string request;
 };
 struct FirstByte {
   std::string request;
@@ -174,7 +178,7 @@
 };
 struct Leaving {};  // it is about to end: what it keeps of guarded quotas goes to others
 using Event = std::variant<ServerList, Request, FirstByte, Outcome, Gone, Probed, PeerMessage, Timer, Counted,
-                           Leaving, HandedOver, Elsewhere>;
+                           Leaving, HandedOver, Elsewhere, Uploaded>;
 
 // ---- actions ------------------------------------------------------------------------------------
 
--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdio>
 
 namespace cranemux::attempt {
 namespace {
@@ -10,9 +11,16 @@
 using cranemux::Result;
 using net::Clock;
 constexpr std::chrono::seconds kSweep{1};
-constexpr std::chrono::milliseconds kDawdles{200};     // an answer of no told length is passed on as it comes
+constexpr std::chrono::milliseconds kDawdles{200};  // an answer of no told length is passed on as it comes
+constexpr std::size_t kBodyPiece = 16 * 1024;
+constexpr std::chrono::milliseconds kBodyLook{50};     // for an answer that comes before the body's end
 constexpr std::chrono::milliseconds kDrainMargin{20};  // before the grace of a drain ends
 
+bool readable(net::tcp::socket& socket) {
+  char byte = 0;
+  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // Nobody knows how long it will be, and it takes its time. `since`: its first byte.
 bool dawdles(const http::Framing& framing, Clock::time_point since) {
   return framing.kind != http::Framing::Kind::length && Clock::now() - since > kDawdles;
@@ -107,6 +115,7 @@
 void Attempts::close(Call& call, Stop stop) {
   if (call.stop != Stop::none) return;
   call.stop = stop;
+  call.more.cancel();
   boost::system::error_code ignored;
   if (call.connection) call.connection->socket.close(ignored);
 }
@@ -246,13 +255,18 @@
   std::size_t count = 0;
   std::tie(error, count) = co_await net::asio::async_write(socket, net::asio::buffer(message), net::kResult);
   call.written = count == message.size();
+  if (const auto body = payload.body()) {
+    call.written = call.written && co_await send_body(call, *body);
+    call.started = Clock::now();  // what a worker is measured by begins with the last byte
+  }
   if (call.written) core_.attempt_written(call.rpc);
   http::Message answer;
   http::Verdict verdict;
   Clock::time_point first{};  // byte of the answer
   std::size_t before = 0;     // bytes of 1xx answers, which come before the answer
   connection.buffer.clear();
-  while (!error && call.stop == Stop::none) {
+  // One whose body broke off has nothing to wait for, but a worker may have said why.
+  while (!error && call.stop == Stop::none && (call.written || readable(socket))) {
     error = co_await net::read_some(socket, connection.buffer);
     if (call.stop != Stop::none || (error && error != net::asio::error::eof)) break;
     if (payload.may_stream() &&
@@ -292,7 +306,7 @@
     logger_.log(metrics::Level::info, "spoilt answer of ", call.worker->entry.name);
     result.result = Result::error;
   }
-  if (whole && answer.keep_alive && answer.size == connection.buffer.size()) {
+  if (whole && call.written && answer.keep_alive && answer.size == connection.buffer.size()) {
     std::string().swap(connection.buffer);
     co_return result;
   }
@@ -301,6 +315,40 @@
   co_return result;
 }
 
+// As it comes, and in chunks where nobody knows its length. False: not all of it has gone.
+net::awaitable<bool> Attempts::send_body(Call& call, BodyPipe& body) {
+  auto& socket = call.connection->socket;
+  if (!body.rewind()) co_return false;
+  const bool chunks = !body.length().has_value();
+  body.on_more = [&call] { call.more.cancel(); };
+  bool good = true;
+  while (good && call.stop == Stop::none && !body.broken()) {
+    auto piece = body.take(kBodyPiece);
+    const bool last = body.ended();
+    if (piece.empty() && !last) {
+      if (readable(socket)) break;  // an answer before the end: it wants no more
+      call.more.expires_after(kBodyLook);
+      co_await call.more.async_wait(net::kResult);
+      continue;
+    }
+    if (chunks) {
+      char size[20];
+      std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+      if (!piece.empty()) piece.insert(0, size).append("\r\n");
+      if (last) piece.append("0\r\n\r\n");
+    }
+    const auto [error, count] =
+        co_await net::asio::async_write(socket, net::asio::buffer(piece), net::kResult);
+    good = !error;
+    if (good && last) {
+      body.on_more = {};
+      co_return true;
+    }
+  }
+  body.on_more = {};
+  co_return false;
+}
+
 // The connection leaves this layer with the stream; the attempt has ended well.
 core::AttemptResult Attempts::begin_stream(Call& call, const http::Message& head) {
   auto& connection = *call.connection;
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "attempt/body_pipe.h"
 #include "core/core.h"
 #include "http/http.h"
 #include "net/net.h"
@@ -28,6 +29,8 @@
   // May an answer be longer than is held? Then the result's stream is an Upstream, too, from its first bytes
   // on.
   virtual bool may_be_long() const { return false; }
+  // What follows `message`, where that is not all of the request.
+  virtual std::shared_ptr<BodyPipe> body() const { return nullptr; }
   // What the gatekeeper answers itself, without a worker; nothing goes out then.
   virtual std::optional<core::AttemptResult> own_answer() const { return std::nullopt; }
 };
@@ -90,12 +93,12 @@
   };
   enum class Stop { none, cancelled, timeout };
   struct Call {
-    Call(net::asio::io_context& io) : timer(io) {}
+    Call(net::asio::io_context& io) : timer(io), more(io) {}
     core::RpcId rpc = 0;
     int attempt = 0;
     std::shared_ptr<Worker> worker;
     std::unique_ptr<Connection> connection;
-    net::asio::steady_timer timer;
+    net::asio::steady_timer timer, more;  // its limit; more of its body has come
     net::Clock::time_point started, give_up;
     std::shared_ptr<const core::Payload> payload;
     Stop stop = Stop::none;
@@ -105,6 +108,7 @@
   net::awaitable<void> run(std::shared_ptr<Call> call);
   net::awaitable<bool> open(Call& call);
   net::awaitable<core::AttemptResult> exchange(Call& call);
+  net::awaitable<bool> send_body(Call& call, BodyPipe& body);
   core::AttemptResult begin_stream(Call& call, const http::Message& head);
   core::AttemptResult begin_long(Call& call, const http::Message& head, const http::Framing& framing);
   std::unique_ptr<Connection> reuse(Worker& worker);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,6 +14,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config/settings.h"
 #include "handover/module_state.h"
 #include "ledger/books.h"
 #include "ledger/report.h"
@@ -73,6 +74,7 @@
 constexpr Nanos kForget = 60 * kSecond;   // what nobody has asked about for so long may be forgotten
 constexpr std::size_t kBudgetsKept = 64;  // different budgets that are counted for a class
 
+constexpr Nanos kUploadMost = 3600 * kSecond;  // a body on its way: its sender sees to its end
 constexpr double kRounding = 1e-6;  // units: what filled in parts may fall short of a whole one by so much
 constexpr std::uint64_t kSaneFigure = 1'000'000'000;  // a message that says more is damaged
 
@@ -104,7 +106,7 @@
  public:
   explicit Impl(const Settings& settings, std::shared_ptr<Books> books = nullptr)
       : s_(settings), random_(settings.seed), books_(books ? books : std::make_shared<Books>()) {
-    check(settings);
+    config::check(settings);
     if (!books) {
       books_->plans = s_.plans;
       life_ = static_cast<std::uint32_t>(random_() & 0xffffU);
@@ -163,19 +165,6 @@
   }
 
  private:
-  static void check(const Settings& s) {
-    const auto need = [](bool good, const char* what) {
-      if (!good) throw std::invalid_argument(std::string("cranemux: ") + what);
-    };
-    need(!s.guarded || s.gateways <= ledger::kMostGuarded, "too many gateways for guarded quotas");
-    need(s.gateways >= 1 && s.index >= 0 && s.index < s.gateways, "index must lie within gateways");
-    need(!s.classes.empty() && s.max_attempts >= 1 && s.most_units > 0, "a class, an attempt and a unit");
-    for (const auto& c : s.classes) need(c.aim > 0, "a class needs an aim above 0");
-    for (const auto& p : s.plans) {
-      need(p.rate >= 0 && p.burst >= 0 && p.open_limit >= 0 && p.ceiling_rate >= 0, "a plan is below 0");
-    }
-  }
-
   handover::Memory memory() { return {*books_, served_recently_, hedge_tokens_, budgets_, servers_, by_id_}; }
 
   template <typename T>
@@ -284,8 +273,8 @@
       if (c.name == request.klass) job.klass = &c;
     }
     job.arrived = now_;
-    job.deadline = now_ + request.budget;
-    job.goal = std::min(now_ + job.klass->aim - age_of(request, *job.klass), job.deadline - kAnswerMargin);
+    job.goal = job.deadline = now_ + kUploadMost;
+    if (!request.uploading) begin(job);
     const auto hold = static_cast<Nanos>(kHoldOfAim * static_cast<double>(job.klass->aim));
     job.hold_until = std::min(now_ + std::min(kHoldBound, hold), job.goal);
     job.account = ledger::hash_of(request.customer);
@@ -309,6 +298,16 @@
     if (at->second.admitted || at->second.done) held_.pop_back();
   }
 
+  // Its last byte has come: its time begins.
+  void begin(Job& job) {
+    job.deadline = now_ + job.request.budget;
+    const auto age = age_of(job.request, *job.klass);
+    job.goal = std::min(now_ + job.klass->aim - age, job.deadline - kAnswerMargin);
+  }
+  void on(const Uploaded& uploaded) {
+    if (const auto at = jobs_.find(uploaded.request); at != jobs_.end()) begin(at->second);
+  }
+
   // Clients give every first try the same time, and a last one what is left of their patience. So a budget
   // that is not the class's commonest tells a later try and its age, and the aim counts from the first.
   Nanos age_of(const Request& request, const ClassSettings& klass) {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,5 +1,7 @@
 #include "config/settings.h"
 
+#include "ledger/rights.h"
+
 namespace cranemux::config {
 
 const std::string* find(const Fields& fields, std::string_view name) {
@@ -87,4 +89,17 @@
   return s;
 }
 
+void check(const Settings& s) {
+  const auto need = [](bool good, const char* what) {
+    if (!good) throw std::invalid_argument(std::string("cranemux: ") + what);
+  };
+  need(!s.guarded || s.gateways <= ledger::kMostGuarded, "too many gateways for guarded quotas");
+  need(s.gateways >= 1 && s.index >= 0 && s.index < s.gateways, "index must lie within gateways");
+  need(!s.classes.empty() && s.max_attempts >= 1 && s.most_units > 0, "a class, an attempt and a unit");
+  for (const auto& c : s.classes) need(c.aim > 0, "a class needs an aim above 0");
+  for (const auto& p : s.plans) {
+    need(p.rate >= 0 && p.burst >= 0 && p.open_limit >= 0 && p.ceiling_rate >= 0, "a plan is below 0");
+  }
+}
+
 }  // namespace cranemux::config
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -51,5 +51,7 @@
 }
 
 Settings parse_settings(const Fields& info);
+// Throws std::invalid_argument where no module could go by them.
+void check(const Settings& settings);
 
 }  // namespace cranemux::config
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kGuard{4};  // before the deadline, when the module has not answered
+constexpr std::chrono::hours kUploading{1};     // its channel ends one that does not come on
 constexpr std::size_t kMostCustomers = 1024;    // that the console's table keeps
 constexpr std::size_t kMostEvents = 512;        // taken up in one turn: other pools' turns come between
 
@@ -77,13 +78,14 @@
   Rpc rpc;
   rpc.unsafe = unsafe_class(terms.klass);
   rpc.lane = &counters_.lanes[terms.klass];
-  rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, terms.budget - kGuard);
+  rpc.guard = Clock::now() + (terms.uploading ? nanoseconds(kUploading)
+                                              : std::max<nanoseconds>(nanoseconds{0}, terms.budget - kGuard));
   rpc.payload = std::move(payload);
   rpc.channel = std::move(channel);
   guards_.emplace(rpc.guard, id);
   count_use(terms);
   push(cranemux::Request{std::to_string(id), terms.klass, terms.plan, terms.customer, terms.budget.count(),
-                         terms.units, terms.first, terms.spread, terms.repeat});
+                         terms.units, terms.first, terms.spread, terms.repeat, terms.uploading});
   rpc.terms = std::move(terms);
   rpcs_.emplace(id, std::move(rpc));
   return id;
@@ -102,6 +104,16 @@
   ++use.rpcs;
 }
 
+void Core::uploaded(RpcId id) {
+  const auto at = rpcs_.find(id);
+  if (at == rpcs_.end() || !at->second.channel) return;
+  auto& rpc = at->second;
+  guards_.erase({rpc.guard, id});
+  rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, rpc.terms.budget - kGuard);
+  guards_.emplace(rpc.guard, id);
+  push(cranemux::Uploaded{std::to_string(id)});
+}
+
 void Core::abandoned(RpcId id) {
   const auto at = rpcs_.find(id);
   if (at == rpcs_.end() || !at->second.channel) return;
@@ -261,7 +273,8 @@
 void Core::send(const cranemux::Send& send) {
   RpcId id = 0;
   auto* rpc = find(send.request, id);
-  if (!rpc || !rpc->channel || rpc->out || (rpc->unsafe && rpc->may_have_run)) {
+  if (!rpc || !rpc->channel || rpc->out || (rpc->unsafe && rpc->may_have_run) ||
+      (rpc->attempts > 0 && !rpc->payload->repeatable())) {
     // Over, or a second copy, or a second run of what must run once: never sent.
     if (rpc) ++rpc->attempts;
     ++counters_.attempts_moot;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -31,11 +31,13 @@
   double units = 1;
   int first = 0, spread = 1;
   bool repeat = false;
+  bool uploading = false;  // its last byte has yet to come: its time begins with `uploaded`
 };
 
 // What call attempts carry to a worker: made by a front, read by the attempt layer only.
 struct Payload {
   virtual ~Payload() = default;
+  virtual bool repeatable() const { return true; }  // all of it is still held
   std::shared_ptr<void> lasts;  // stays while the RPC, or a call attempt of it, is at work
 };
 
@@ -107,6 +109,7 @@
   std::string guard_report() const;  // see Brain
 
   RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
+  void uploaded(RpcId rpc);
   void abandoned(RpcId rpc);        // its client has gone
   void attempt_written(RpcId rpc);  // its last byte has gone to the worker
   void attempt_ended(RpcId rpc, int attempt, AttemptResult&& result);
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -15,9 +15,10 @@
 
 constexpr milliseconds kAcceptPause{20};  // where there is no room at all, or descriptors have run out
 constexpr milliseconds kSweep{100};
-constexpr milliseconds kLeaving{1000};               // the rest of a flood after the last answer
-constexpr std::size_t kMostAhead = 16'384;           // sent on while it waits for an answer
-constexpr std::size_t kMostDiscarded = 1024 * 1024;  // of what comes after the last answer
+constexpr milliseconds kLeaving{1000};  // the rest of a flood after the last answer
+constexpr std::size_t kHeld = 1024 * 1024, kHeldPressed = 64 * 1024;  // of a body that is on its way
+constexpr std::size_t kMostAhead = 16'384;                            // sent on while it waits for an answer
+constexpr std::size_t kMostDiscarded = 1024 * 1024;                   // of what comes after the last answer
 
 }  // namespace
 
@@ -33,6 +34,7 @@
 
 HttpChannel::State HttpChannel::state() const {
   if (stream_) return State::streaming;
+  if (uploading()) return paused_ ? State::waiting : State::reading;
   if (waits_) return State::waiting;
   if (writing_) return State::writing;
   if (last_) return State::leaving;
@@ -51,7 +53,7 @@
     const auto count = broken_ ? 0 : socket_.read_some(net::asio::buffer(piece), error);
     if (error == net::asio::error::would_block) continue;
     if (error || count == 0) break;
-    if (last_) {  // a close with unread input could destroy the last answer on its way
+    if (last_ && !uploading()) {  // a close with unread input could destroy the last answer on its way
       discarded_ += count;
       if (discarded_ <= kMostDiscarded) continue;
       net::asio::steady_timer rest(socket_.get_executor(), kLeaving);
@@ -60,10 +62,11 @@
     }
     if (in_.empty() && spoke_ && !engaged()) since_ = net::Clock::now();
     in_.append(piece.data(), count);
-    process();
+    uploading() ? feed() : process();
     counted();
-    if (engaged() && in_.size() > kMostAhead) {
+    if (uploading() ? upload_->pipe->full() : engaged() && in_.size() > kMostAhead) {
       paused_ = true;
+      if (upload_) upload_->paused = net::Clock::now();
       co_return;
     }
   }
@@ -73,7 +76,8 @@
 }
 
 void HttpChannel::resume() {
-  if (broken_ || engaged() || !std::exchange(paused_, false)) return;
+  if (broken_ || (uploading() ? upload_->pipe->full() : engaged()) || !std::exchange(paused_, false)) return;
+  if (uploading()) since_ += net::Clock::now() - upload_->paused;  // it was not the client that waited
   net::spawn(socket_.get_executor(), server_.logger_, "channel", run());
 }
 
@@ -84,23 +88,18 @@
     http::Message message;
     auto verdict = http::parse(in_, http::Kind::request, message);
     need_ = verdict.need;
+    const bool too_long = verdict.state == http::State::bad && verdict.status == 413;
+    if (verdict.state == http::State::partial || too_long) go_on(message);
+    if ((too_long || in_.size() > http::kMostBuffer) && begin_upload(message)) break;
     if (verdict.state == http::State::partial) {
-      go_on(message);
       if (in_.size() <= http::kMostBuffer) break;
       verdict = {http::State::bad, 413, 0};
     }
     if (verdict.state == http::State::bad) {
-      ++server_.counters_.bad_requests;
-      last_ = true;
-      std::string().swap(in_);
-      reply(server_.front_.malformed(verdict.status));
+      fail(verdict.status);
       break;
     }
-    last_ = !message.keep_alive;
-    old_ = message.version == "HTTP/1.0";
-    continued_ = false;
-    waits_ = true;
-    since_ = net::Clock::now();
+    begin(message);
     body_ = message.body.size();
     Handled handled;
     if (is_health(message.target)) {
@@ -114,20 +113,118 @@
     in_.erase(0, message.size);
     if (in_.empty() || last_) std::string().swap(in_);
     need_ = 0;
-    if (handled.reply) {
-      waits_ = false;
-      body_ = 0;
-      const auto status = handled.reply->status;
-      if (status >= 400 && status < 500) ++server_.counters_.bad_requests;
-      reply(*handled.reply);
-    } else {
-      rpc_ = handled.rpc;
-      context_ = std::move(handled.context);
-    }
+    took(std::move(handled));
   }
   processing_ = false;
 }
 
+void HttpChannel::begin(const http::Message& message) {
+  last_ = !message.keep_alive;
+  old_ = message.version == "HTTP/1.0";
+  continued_ = false;
+  waits_ = true;
+  since_ = net::Clock::now();
+}
+
+void HttpChannel::took(Handled&& handled) {
+  if (!handled.reply) {
+    rpc_ = handled.rpc;
+    context_ = std::move(handled.context);
+    return;
+  }
+  waits_ = false;
+  body_ = 0;
+  const auto status = handled.reply->status;
+  if (status >= 400 && status < 500) ++server_.counters_.bad_requests;
+  reply(*handled.reply);
+}
+
+// ---- bodies that are longer than is held --------------------------------------------------------
+
+HttpChannel::Upload::Upload(std::string_view text, const http::Framing& framing, std::size_t most)
+    : head(text),
+      reader(framing),
+      pipe(std::make_shared<attempt::BodyPipe>(
+          framing.kind == http::Framing::Kind::length ? std::optional(framing.length) : std::nullopt, most)) {
+}
+
+bool HttpChannel::begin_upload(const http::Message& message) {
+  int status = 0;
+  const auto framing = message.size > 0 ? http::framing(message, http::Kind::request, status) : std::nullopt;
+  if (!framing || framing->length > http::kMostLong || !server_.front_.takes_long(message)) return false;
+  if (server_.bytes_ > server_.limits_.bytes) {
+    ++server_.counters_.requests_no_memory;
+    fail(503);
+    return true;
+  }
+  upload_ = std::make_unique<Upload>(std::string_view(in_).substr(0, message.size), *framing,
+                                     pressed() ? kHeldPressed : kHeld);
+  upload_->pipe->on_room = [weak = weak_from_this()] {
+    if (const auto channel = weak.lock()) channel->resume();
+  };
+  in_.erase(0, message.size);
+  need_ = 0;
+  feed();
+  return true;
+}
+
+// What has come goes into the pipe. The module is asked once that is full, or all of it is there.
+void HttpChannel::feed() {
+  const auto& pipe = upload_->pipe;
+  std::string data;
+  const auto state = upload_->reader.take(in_, data);
+  if (in_.empty()) std::string().swap(in_);
+  upload_->received += data.size();
+  if (state == http::BodyReader::State::bad) return fail(400);
+  if (upload_->received > http::kMostLong) return fail(413);
+  if (!data.empty()) pipe->put(data);
+  if (state == http::BodyReader::State::done) {
+    upload_->done = true;
+    pipe->end();
+    if (upload_->asked) {
+      since_ = net::Clock::now();
+      return server_.front_.uploaded(rpc_);
+    }
+    return ask(true);
+  }
+  if (!upload_->asked && pipe->full()) ask(false);
+}
+
+void HttpChannel::ask(bool whole) {
+  http::Message message;
+  http::parse_head(upload_->head, http::Kind::request, message);
+  const auto since = since_;
+  begin(message);
+  if (!whole) since_ = since;  // it is still being read
+  upload_->asked = true;
+  ++server_.counters_.bodies_relayed;
+  Incoming incoming{message, shared_from_this()};
+  incoming.body = upload_->pipe;
+  took(server_.front_.request(incoming));
+}
+
+// Whoever empties the pipe is told that no more will come.
+void HttpChannel::end_upload() {
+  if (const auto upload = std::exchange(upload_, nullptr)) {
+    upload->pipe->on_room = {};
+    upload->pipe->break_off();
+  }
+}
+
+void HttpChannel::fail(int status) {
+  server_.logger_.log(metrics::Level::debug, "a request that is not whole gets ", status, ", ", read(),
+                      " bytes of it after ",
+                      std::chrono::duration_cast<milliseconds>(net::Clock::now() - since_).count(), " ms");
+  if (std::exchange(waits_, false) && rpc_ != 0) {
+    server_.front_.abandoned(std::exchange(rpc_, 0), context_);
+    context_.reset();
+  }
+  last_ = true;
+  std::string().swap(in_);
+  if (status >= 400 && status < 500 && status != 408) ++server_.counters_.bad_requests;
+  reply(server_.front_.malformed(status));
+}
+
 // A client that has asked whether to go on with its body is told so, once.
 void HttpChannel::go_on(const http::Message& message) {
   const auto expects = message.field("Expect");
@@ -158,6 +255,8 @@
 
 void HttpChannel::reply(const Reply& reply) {
   if (server_.lifecycle_.last_answer(net::Clock::now())) last_ = true;
+  if (uploading()) last_ = true;  // an answer before the end of its request: no more is read
+  end_upload();
   out_ = "HTTP/1.1 " + std::to_string(reply.status) + ' ';
   out_ += http::reason(reply.status);
   out_ += "\r\nContent-Type: ";
@@ -288,6 +387,7 @@
   boost::system::error_code ignored;
   socket_.close(ignored);
   context_.reset();
+  end_upload();
   server_.bytes_ -= std::exchange(counted_, 0);
   const auto stream = std::exchange(stream_, nullptr);
   place();
@@ -342,9 +442,7 @@
       return close_between_requests();
     case State::reading:
       ++server_.counters_.requests_timed_out;
-      last_ = true;
-      std::string().swap(in_);
-      return reply(server_.front_.malformed(408));
+      return fail(408);
     case State::writing:
     case State::leaving:
       ++server_.counters_.channels_cut;
@@ -360,6 +458,7 @@
   if (now == State::waiting || now == State::writing || now == State::streaming) return false;
   if ((now == State::idle || now == State::silent) && unread()) return false;
   ++server_.counters_.channels_evicted;
+  if (waits_ && rpc_ != 0) server_.front_.abandoned(std::exchange(rpc_, 0), context_);
   cut();
   return true;
 }
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "attempt/body_pipe.h"
 #include "core/core.h"
 #include "front/channel_policy.h"
 #include "http/http.h"
@@ -21,6 +22,7 @@
 namespace cranemux::front {
 
 class ChannelServer;
+struct Handled;
 
 class HttpChannel;
 
@@ -64,20 +66,43 @@
 
   using State = ChannelState;
   State state() const;
-  std::size_t read() const { return in_.size(); }          // of a request that is not whole
+  std::size_t read() const {
+    return upload_ ? upload_->received : in_.size();
+  }                                                        // of a request that is not whole
   net::Clock::time_point since() const { return since_; }  // this state began
-  std::size_t bytes() const { return in_.capacity() + out_.capacity() + next_.capacity() + body_; }
+  std::size_t bytes() const {
+    return in_.capacity() + out_.capacity() + next_.capacity() + body_ +
+           (upload_ ? upload_->pipe->held() : 0);
+  }
   void cut();
   void bound_kernel(int bytes);  // what the kernel holds of its answers
-  void break_off();  // in the middle of an answer, so that the client can tell
-  void time_out();   // its limit is over: says so, where the client has begun a request, and closes
-  bool evict();      // closes it at once, unless something has come on it that is not read yet
+  void break_off();              // in the middle of an answer, so that the client can tell
+  void time_out();  // its limit is over: says so, where the client has begun a request, and closes
+  bool evict();     // closes it at once, unless something has come on it that is not read yet
 
  private:
   bool engaged() const { return waits_ || writing_ || stream_; }  // with a request, up to its answer's end
   void process();
   void go_on(const http::Message& message);
+  void begin(const http::Message& message);
+  void took(Handled&& handled);
   Reply health(std::string_view target) const;
+  // A body that is longer than is held.
+  struct Upload {
+    Upload(std::string_view text, const http::Framing& framing, std::size_t most);
+    const std::string head;
+    http::BodyReader reader;
+    const std::shared_ptr<attempt::BodyPipe> pipe;
+    std::size_t received = 0;
+    bool asked = false, done = false;  // the RPC is taken; the last byte is there
+    net::Clock::time_point paused;
+  };
+  bool uploading() const { return upload_ && !upload_->done; }
+  bool begin_upload(const http::Message& message);
+  void feed();
+  void ask(bool whole);  // puts the upload to the front
+  void end_upload();
+  void fail(int status);  // of a request that is not whole
   void reply(const Reply& reply);
   void write();
   net::awaitable<void> write_rest(std::shared_ptr<HttpChannel> self);
@@ -101,6 +126,7 @@
   net::Clock::time_point since_ = net::Clock::now();
   bool waits_ = false, writing_ = false, last_ = false, broken_ = false, processing_ = false, left_ = false;
   bool spoke_ = false;  // has had an answer
+  std::unique_ptr<Upload> upload_;
   std::shared_ptr<StreamSource> stream_;
   std::string next_;  // of a stream, behind `out_`
   bool stream_ends_ = false, chunks_ = false;
@@ -113,9 +139,10 @@
 struct Incoming {
   const http::Message& message;
   std::shared_ptr<core::Channel> channel;
-  std::string_view target = {};       // as it is sent on, where that is not the message's
-  std::chrono::nanoseconds waited{};  // of its time, elsewhere
-  std::shared_ptr<void> lasts = {};   // stays while the RPC, or a call attempt of it, is at work
+  std::string_view target = {};                  // as it is sent on, where that is not the message's
+  std::chrono::nanoseconds waited{};             // of its time, elsewhere
+  std::shared_ptr<void> lasts = {};              // stays while the RPC, or a call attempt of it, is at work
+  std::shared_ptr<attempt::BodyPipe> body = {};  // a long one, instead of the message's
 };
 
 // What a front makes of a request: a reply at once, or an RPC made on the channel.
@@ -131,6 +158,10 @@
   virtual Handled request(const Incoming& incoming) = 0;
   virtual Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) = 0;
   virtual Reply malformed(int status) = 0;
+  // May a body be longer than a channel holds? Then `request` comes with what has come of it, and `uploaded`
+  // with its last byte, unless that was there.
+  virtual bool takes_long(const http::Message&) const { return false; }
+  virtual void uploaded(core::RpcId) {}
   virtual Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) = 0;
   virtual void abandoned(core::RpcId rpc, const std::shared_ptr<void>& context) = 0;
   // The class that a request belongs to, empty where it can't be told: for routes that go by it.
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -24,8 +24,11 @@
  public:
   PlatformExchange(const http::Message& message, std::string_view target,
                    std::shared_ptr<const std::vector<std::string>> load_fields, std::shared_ptr<OpenIds> open,
-                   std::string id)
-      : load_fields_(std::move(load_fields)), open_(std::move(open)), id_(std::move(id)) {
+                   std::string id, std::shared_ptr<attempt::BodyPipe> pipe)
+      : pipe_(std::move(pipe)),
+        load_fields_(std::move(load_fields)),
+        open_(std::move(open)),
+        id_(std::move(id)) {
     open_->insert(id_);
     head_.append(message.method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ");
     head_.append(message.field("Host").value_or("worker")).append("\r\nReq-Id: ");
@@ -34,7 +37,7 @@
     if (const auto type = message.field("Content-Type")) {
       head_.append("Content-Type: ").append(*type).append("\r\n");
     }
-    if (!message.body.empty() || message.method != "GET") {
+    if (!pipe_ && (!message.body.empty() || message.method != "GET")) {
       head_ += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
     }
     body_ = message.body;
@@ -48,10 +51,17 @@
     std::string out;
     out.reserve(head_.size() + body_.size() + 48);
     out.append(head_).append("Req-Deadline-Ms: ").append(std::to_string(patience.count()));
+    if (pipe_) {
+      const auto length = pipe_->length();
+      out.append(length ? "\r\nContent-Length: " + std::to_string(*length)
+                        : std::string("\r\nTransfer-Encoding: chunked"));
+    }
     return out.append("\r\n\r\n").append(body_);
   }
 
   bool may_be_long() const override { return true; }
+  std::shared_ptr<attempt::BodyPipe> body() const override { return pipe_; }
+  bool repeatable() const override { return !pipe_ || pipe_->repeatable(); }
 
   core::AttemptResult read(const http::Message& answer) const override {
     core::AttemptResult result;
@@ -69,6 +79,7 @@
   }
 
  private:
+  std::shared_ptr<attempt::BodyPipe> pipe_;
   std::string head_, body_;
   std::shared_ptr<const std::vector<std::string>> load_fields_;
   std::shared_ptr<OpenIds> open_;
@@ -118,7 +129,7 @@
   if (message.method != (core_.unsafe_class(terms.klass) ? "POST" : "GET")) {
     return bad("the class of Req-Kind goes by another method", 405);
   }
-  if (message.method == "GET" && !message.body.empty()) return bad("GET brings no body");
+  if (message.method == "GET" && (!message.body.empty() || incoming.body)) return bad("GET brings no body");
   if (!message.field("Req-Deadline-Ms")) return bad("Req-Deadline-Ms is missing");
   if (const auto wrong = read_caller(message, core_, terms); !wrong.empty()) return bad(wrong);
   const auto units = read_units(message);
@@ -129,7 +140,8 @@
   terms.units = *units;
   terms.budget = std::max(std::chrono::nanoseconds{}, terms.budget - incoming.waited);
   const auto target = incoming.target.empty() ? message.target : incoming.target;
-  auto payload = std::make_shared<PlatformExchange>(message, target, load_fields_, open_, id);
+  auto payload = std::make_shared<PlatformExchange>(message, target, load_fields_, open_, id, incoming.body);
+  terms.uploading = incoming.body && !incoming.body->whole();
   payload->lasts = incoming.lasts;
   return {std::nullopt, core_.take(std::move(terms), std::move(payload), incoming.channel)};
 }
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -17,6 +17,8 @@
   Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) override;
   Reply malformed(int status) override;
   Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) override;
+  bool takes_long(const http::Message&) const override { return true; }
+  void uploaded(core::RpcId rpc) override { core_.uploaded(rpc); }
   void abandoned(core::RpcId rpc, const std::shared_ptr<void>&) override { core_.abandoned(rpc); }
   // Ids of requests in flight, here and at another process of this gatekeeper.
   std::vector<std::string> open_ids() const { return {open_->begin(), open_->end()}; }
--- a/testing/site.cpp
+++ b/testing/site.cpp
@@ -60,9 +60,11 @@
                     ",\"peer_listen\":" + here(mail_) + ",\"peers\":[" + here(mail_) +
                     "],\"seed\":\"5\",\"known\":{\"index\":7,\"snapshot\":true,\"endpoints\":[";
   const char* comma = "";
-  for (const auto& [name, node] : nodes_) {
+  auto addresses = elsewhere;
+  for (const auto& [name, node] : nodes_) addresses[name] = node->address();
+  for (const auto& [name, address] : addresses) {
     out += comma;
-    out += "{\"name\":\"" + name + "\",\"address\":\"" + node->address() +
+    out += "{\"name\":\"" + name + "\",\"address\":\"" + address +
            "\",\"zone\":\"z\",\"status\":\"active\",\"since_ms\":0}";
     comma = ",";
   }
--- a/testing/site.h
+++ b/testing/site.h
@@ -24,7 +24,8 @@
   Site(const Site&) = delete;
   Site& operator=(const Site&) = delete;
 
-  Node& node(const std::string& name);  // before the start
+  Node& node(const std::string& name);           // before the start
+  std::map<std::string, std::string> elsewhere;  // further nodes, that the test plays itself, by name
   struct Life {
     std::unique_ptr<Program> program;
     int management = 0;  // its port
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -711,5 +711,38 @@
   EXPECT_EQ(a.refused, b.refused);
 }
 
+// A body that takes seconds to come: its attempt is out all the while, and its time begins with the last
+// byte.
+TEST(Uploads, TimeBeginsWithTheLastByte) {
+  Door door(base_settings());
+  Request ask;
+  ask.id = "u";
+  ask.klass = "book";
+  ask.plan = "rate";
+  ask.customer = "c";
+  ask.budget = 2 * kSecond;
+  ask.spread = 1;
+  ask.uploading = true;
+  door.now = 100 * kSecond;
+  door.feed({ask});
+  for (int i = 0; i < 700; ++i) {
+    door.now += 10 * kMs;
+    door.feed({Timer{1}});
+  }
+  ASSERT_EQ(door.sends.size(), 1U);
+  EXPECT_TRUE(door.failed.empty() && door.refused.empty());
+  door.feed({Uploaded{"u"}});
+  for (int i = 0; i < 40; ++i) {  // its aim is 500 ms
+    door.now += 10 * kMs;
+    door.feed({Timer{1}});
+  }
+  EXPECT_TRUE(door.failed.empty());
+  for (int i = 0; i < 200; ++i) {
+    door.now += 10 * kMs;
+    door.feed({Timer{1}});
+  }
+  EXPECT_EQ(door.failed.count("u"), 1U);  // it may have run
+}
+
 }  // namespace
 }  // namespace cranemux
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -284,5 +284,201 @@
   EXPECT_EQ(wire.status, 200);
 }
 
+// ---- bodies of requests -------------------------------------------------------------------------
+
+// What a worker got of a request, by its own reading.
+struct Taken {
+  std::string head, body;
+};
+
+// A worker that reads bodies of any size, and answers when they are whole; or at once, with what it is told
+// to.
+class Reader {
+ public:
+  explicit Reader(Stage& stage)
+      : stage_(stage), acceptor_(stage.io(), {net::asio::ip::make_address("127.0.0.1"), 0}) {
+    net::spawn(stage_.io(), logger_, "reader", accept());
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+  std::string early;      // said once a head is there
+  int* breaks = nullptr;  // so many connections still break in the middle of a body
+  std::vector<Taken> taken;
+  std::size_t heads = 0;
+
+ private:
+  net::awaitable<void> accept() {
+    for (;;) {
+      auto [error, socket] = co_await acceptor_.async_accept(net::kResult);
+      if (error) co_return;
+      net::spawn(stage_.io(), logger_, "reader",
+                 serve(std::make_shared<net::tcp::socket>(std::move(socket))));
+    }
+  }
+  net::awaitable<void> serve(std::shared_ptr<net::tcp::socket> socket) {
+    std::string in;
+    for (;;) {
+      http::Message head;
+      while (http::parse_head(in, http::Kind::request, head).state != http::State::whole) {
+        if (co_await net::read_more(*socket, in, 65536) == 0) co_return;
+      }
+      ++heads;
+      Taken one{in.substr(0, head.size), {}};
+      int ignored = 0;
+      http::BodyReader reader(*http::framing(head, http::Kind::request, ignored));
+      in.erase(0, head.size);
+      if (!early.empty()) {
+        co_await net::asio::async_write(*socket, net::asio::buffer(early), net::kResult);
+        co_return;
+      }
+      while (reader.take(in, one.body) != http::BodyReader::State::done) {
+        if (breaks && *breaks > 0 && one.body.size() >= 20'000) {
+          --*breaks;
+          socket->set_option(net::asio::socket_base::linger(true, 0));
+          co_return;
+        }
+        if (co_await net::read_more(*socket, in, 65536) == 0) co_return;
+      }
+      taken.push_back(std::move(one));
+      const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+      co_await net::asio::async_write(*socket, net::asio::buffer(good), net::kResult);
+    }
+  }
+
+  Stage& stage_;
+  net::tcp::acceptor acceptor_;
+  metrics::Logger logger_{2, metrics::Level::error};
+};
+
+class upload : public ::testing::Test {
+ protected:
+  upload() : site(std::getenv("CRANEMUX_PROGRAM")), reader(site.stage) {
+    site.elsewhere["one"] = reader.address();
+  }
+  void TearDown() override { EXPECT_TRUE(site.life().program->alive()) << site.log(0); }
+  long count(const std::string& result) {
+    return site.figure("router_downstream_requests{lane=\"book-job\",result=\"" + result + "\"}");
+  }
+  Site site;
+  Reader reader;
+};
+
+TEST_F(upload, long_bodies_in_every_framing) {
+  site.start();
+  Wire wire(site.stage, site.port);
+  std::string answer;
+  for (const std::size_t size : {std::size_t{70'000}, kMega, 5 * kMega + 3}) {
+    const auto data = pattern(size);
+    wire.send(request("l" + std::to_string(size), "Content-Length: " + std::to_string(size) + "\r\n", false) +
+              data);
+    ASSERT_TRUE(wire.answer(answer));
+    ASSERT_EQ(wire.status, 200);
+    EXPECT_EQ(reader.taken.back().body, data);
+    wire.send(request("c" + std::to_string(size), "Transfer-Encoding: chunked\r\n", false) +
+              chunked(data, 30'011));
+    ASSERT_TRUE(wire.answer(answer));
+    ASSERT_EQ(wire.status, 200);
+    EXPECT_EQ(reader.taken.back().body, data);
+  }
+  // The channel goes on with the next request, and pipelined ones come in turn.
+  const auto data = pattern(100'000);
+  wire.send(request("p1", "Content-Length: 100000\r\n", false) + data +
+            request("p2", "Content-Length: 4\r\n", false) + "book");
+  ASSERT_TRUE(wire.answer(answer));
+  ASSERT_TRUE(wire.answer(answer));
+  EXPECT_EQ(wire.status, 200);
+  EXPECT_EQ(reader.taken.back().body, "book");
+  EXPECT_EQ(count("completed"), 8);
+}
+
+// 16 MB that come in pieces: little is held, and the time of the request begins with its last byte.
+TEST_F(upload, holds_little_and_counts_time_from_the_last_byte) {
+  site.start();
+  Wire wire(site.stage, site.port);
+  std::string answer;
+  wire.send(request("warm", "Content-Length: 4\r\n", false) + "warm");
+  ASSERT_TRUE(wire.answer(answer));
+  const auto before = site.life().program->resident_kb();
+  const auto data = pattern(16 * kMega);
+  wire.send(request("big", "Content-Length: " + std::to_string(data.size()) + "\r\n", false));
+  const auto start = Clock::now();
+  for (std::size_t at = 0; at < data.size(); at += kMega) {
+    wire.send(std::string_view(data).substr(at, kMega));
+    if (at + kMega == data.size() / 2) {
+      // Longer than the deadline that the request names.
+      while (Clock::now() < start + milliseconds(4500)) site.stage.play(milliseconds(50));
+      EXPECT_LT(site.life().program->resident_kb() - before, 6 * 1024);
+      EXPECT_EQ(site.figure("router_upstream_requests{lane=\"book-job\"}"), 1);  // not yet
+    }
+  }
+  ASSERT_TRUE(wire.answer(answer));
+  EXPECT_EQ(wire.status, 200);
+  EXPECT_EQ(reader.taken.back().body, data);
+  EXPECT_EQ(site.figure("router_upstream_requests{lane=\"book-job\"}"), 2);
+}
+
+// A worker that breaks while the body comes has not run it: it goes elsewhere while all of it is held.
+TEST_F(upload, a_worker_that_breaks_in_the_middle) {
+  Reader second(site.stage);
+  site.elsewhere["two"] = second.address();
+  int breaks = 1;
+  reader.breaks = second.breaks = &breaks;
+  site.start();
+  Wire wire(site.stage, site.port);
+  const auto data = pattern(2 * kMega);
+  wire.send(request("held", "Content-Length: " + std::to_string(data.size()) + "\r\n", false) +
+            data.substr(0, kMega));
+  while (reader.heads + second.heads < 2) ASSERT_TRUE(wire.read());
+  wire.send(std::string_view(data).substr(kMega));
+  std::string answer;
+  ASSERT_TRUE(wire.answer(answer));
+  EXPECT_EQ(wire.status, 200);
+  EXPECT_GE(reader.heads + second.heads, 2U);
+  ASSERT_EQ(reader.taken.size() + second.taken.size(), 1U);
+  EXPECT_EQ((reader.taken.empty() ? second : reader).taken.back().body, data);
+}
+
+TEST_F(upload, an_answer_before_the_end) {
+  reader.early =
+      "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  site.start();
+  Wire wire(site.stage, site.port);
+  wire.send(request("early", "Content-Length: 9000000\r\n", false) + pattern(2 * kMega));
+  std::string answer;
+  ASSERT_TRUE(wire.answer(answer));
+  EXPECT_EQ(wire.status, 429);  // it has run nowhere
+  EXPECT_FALSE(wire.keeps);
+  EXPECT_EQ(reader.taken.size(), 0U);
+}
+
+TEST_F(upload, a_client_that_stops_or_leaves) {
+  site.start();
+  Wire stops(site.stage, site.port);
+  const auto data = pattern(2 * kMega);
+  stops.send(request("stops", "Transfer-Encoding: chunked\r\n", false) + "300000\r\n" +
+             data.substr(0, 100'000));
+  {
+    Wire leaves(site.stage, site.port);
+    leaves.send(request("leaves", "Content-Length: 9000000\r\n", false) + data);
+    while (reader.heads == 0) ASSERT_TRUE(leaves.read());
+    leaves.close();
+  }
+  Wire lies(site.stage, site.port);
+  lies.send(request("lies", "Content-Length: 99999999999\r\n", false) + data.substr(0, 1000));
+  std::string answer;
+  ASSERT_TRUE(lies.answer(answer));
+  EXPECT_EQ(lies.status, 413);
+  Wire damaged(site.stage, site.port);
+  damaged.send(request("damaged", "Transfer-Encoding: chunked\r\n", false) + "20000\r\n" +
+               data.substr(0, 0x20000) + "\r\nnonsense\r\n");
+  ASSERT_TRUE(damaged.answer(answer));
+  EXPECT_EQ(damaged.status, 400);
+  ASSERT_TRUE(stops.answer(answer));
+  EXPECT_EQ(stops.status, 408);
+  EXPECT_EQ(reader.taken.size(), 0U);
+  EXPECT_EQ(site.figure("router_pending"), 0);
+  EXPECT_EQ(count("completed"), 0);
+}
+
 }  // namespace
 }  // namespace cranemux::testing
