--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -9,7 +9,6 @@
 // only comes again.
 constexpr milliseconds kNoticed{300};
 constexpr milliseconds kIdle{500};  // between requests: its client has had a moment to use it
-constexpr milliseconds kAll{3500};  // the operators count from 4 s on
 // A planned end: new connections come for 0.4 s after SIGTERM.
 constexpr milliseconds kStillOpen{450};
 
@@ -103,6 +102,4 @@
   return false;
 }
 
-bool Lifecycle::closes_all(Time now) const { return stage_ == Stage::drained && past(now, kAll); }
-
 }  // namespace cranemux::lifecycle
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -30,8 +30,6 @@
   bool last_answer(Time now) const;
   // A channel between requests is closed.
   bool closes_idle(Time now) const;
-  // One that has been silent for so long, or dawdles over a head, is closed too.
-  bool closes_all(Time now) const;
 
  private:
   bool past(Time now, std::chrono::milliseconds wait) const;
--- a/tests/lifecycle_test.cpp
+++ b/tests/lifecycle_test.cpp
@@ -49,8 +49,6 @@
   EXPECT_FALSE(life.closes_idle(kStart + milliseconds(200)));
   EXPECT_TRUE(life.last_answer(kStart + milliseconds(1000)));
   EXPECT_TRUE(life.closes_idle(kStart + milliseconds(1000)));
-  EXPECT_FALSE(life.closes_all(kStart + milliseconds(1000)));
-  EXPECT_TRUE(life.closes_all(kStart + milliseconds(3900)));
   life.drain(false, kStart + milliseconds(4000));
   EXPECT_FALSE(life.last_answer(kStart + milliseconds(9000)));
   EXPECT_FALSE(life.closes_idle(kStart + milliseconds(9000)));
