--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -70,14 +70,14 @@
 
 bool Lifecycle::past(Time now, milliseconds wait) const { return now - since_ >= wait; }
 
-bool Lifecycle::last_answer(Time now) const {
-  if (handed_over_) return true;  // new connections go to the new process
+// `drained`: how long after an operator's word.
+bool Lifecycle::leaves(Time now, milliseconds drained) const {
   switch (stage_) {
     case Stage::starting:
     case Stage::serving:
       return false;
     case Stage::drained:
-      return past(now, kNoticed);
+      return past(now, drained);
     case Stage::handing_over:
       return true;
     case Stage::ending:
@@ -86,20 +86,9 @@
   return false;
 }
 
-bool Lifecycle::closes_idle(Time now) const {
-  if (handed_over_) return past(now, kIdle);
-  switch (stage_) {
-    case Stage::starting:
-    case Stage::serving:
-      return false;
-    case Stage::drained:
-      return past(now, kIdle);
-    case Stage::handing_over:
-      return true;
-    case Stage::ending:
-      return past(now, kStillOpen);
-  }
-  return false;
-}
+// After a hand-over new connections go to the new process at once.
+bool Lifecycle::last_answer(Time now) const { return handed_over_ || leaves(now, kNoticed); }
+
+bool Lifecycle::closes_idle(Time now) const { return handed_over_ ? past(now, kIdle) : leaves(now, kIdle); }
 
 }  // namespace cranemux::lifecycle
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -33,6 +33,7 @@
 
  private:
   bool past(Time now, std::chrono::milliseconds wait) const;
+  bool leaves(Time now, std::chrono::milliseconds drained) const;
 
   Stage stage_ = Stage::starting;
   bool drained_ = false, handed_over_ = false;
