--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -56,6 +56,7 @@
 Verdict chunks(std::string_view buffer, std::size_t& at, std::string& body) {
   for (;;) {
     const auto end = buffer.find("\r\n", at);
+    if (end != std::string_view::npos && end - at > kMostChunkLine) return bad(400);
     if (end == std::string_view::npos) {
       return buffer.size() - at > kMostChunkLine ? bad(400) : Verdict{State::partial, 0, buffer.size() + 1};
     }
@@ -222,11 +223,10 @@
       part_ = Part::end;
     }
     const auto end = in.find("\r\n", at);
-    if (end == std::string::npos) {
-      const auto most = part_ == Part::end ? 1 : part_ == Part::size ? kMostChunkLine : kMostHead;
-      if (in.size() - at > most) state = State::bad;
-      break;
-    }
+    const auto most = part_ == Part::end ? 1 : part_ == Part::size ? kMostChunkLine : kMostHead;
+    // As long in one piece as in many.
+    if (std::min(end, in.size()) - at > most) state = State::bad;
+    if (end == std::string::npos || state == State::bad) break;
     const auto line = std::string_view(in).substr(at, end - at);
     at = end + 2;
     if (part_ == Part::trailer) {  // read and dropped
--- a/tests/http_body_test.cpp
+++ b/tests/http_body_test.cpp
@@ -56,7 +56,7 @@
   for (const std::string& text :
        {std::string("g\r\n"), std::string("-1\r\n"), std::string("\r\n"), std::string("5 5\r\nhello\r\n"),
         std::string("5\r\nhelloX\r\n"), std::string("ffffffffffffffffff\r\n"), std::string(300, '1'),
-        "0\r\n" + std::string(20'000, 't')}) {
+        "5;" + std::string(300, 'x') + "\r\nhello\r\n0\r\n\r\n", "0\r\n" + std::string(20'000, 't')}) {
     for (const std::size_t piece : {std::size_t{1}, text.size()}) {
       std::string body, rest;
       EXPECT_EQ(feed(kChunked, text, piece, body, rest), State::bad) << text.substr(0, 30);
