--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -224,8 +224,10 @@
     }
     const auto end = in.find("\r\n", at);
     const auto most = part_ == Part::end ? 1 : part_ == Part::size ? kMostChunkLine : kMostHead;
-    // As long in one piece as in many.
-    if (std::min(end, in.size()) - at > most) state = State::bad;
+    // As long in one piece as in many, and its end's first half is no part of it.
+    auto length = std::min(end, in.size()) - at;
+    if (end == std::string::npos && length > 0 && in.back() == '\r') --length;
+    if (length > most) state = State::bad;
     if (end == std::string::npos || state == State::bad) break;
     const auto line = std::string_view(in).substr(at, end - at);
     at = end + 2;
--- a/tests/http_body_test.cpp
+++ b/tests/http_body_test.cpp
@@ -64,6 +64,16 @@
   }
 }
 
+// A size line of just the bound, in pieces that part its end.
+TEST(http_body, a_size_line_at_its_bound) {
+  const auto text = "5;" + std::string(254, 'x') + "\r\nhello\r\n0\r\n\r\n";
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{257}, text.size()}) {
+    std::string body, rest;
+    EXPECT_EQ(feed(kChunked, text, piece, body, rest), State::done) << piece;
+    EXPECT_EQ(body, "hello");
+  }
+}
+
 // It holds nothing back: what has come of a chunk is handed on.
 TEST(http_body, a_part_of_a_chunk_is_handed_on) {
   BodyReader reader(kChunked);
