Notice a worker that breaks while the rest of a long body is waited for

Seen: upload.a_worker_that_breaks_in_the_middle failed once under load, after 35 s with 408. Followed by its id: all of the megabyte that had come stood in the kernel, so no write failed, and the look for an early answer (src/attempt/attempts.cpp, send_body) took a reset for silence. Ruled out: the pipe (still repeatable) and the module (never asked again).

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -21,6 +21,13 @@
   return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// Open, and nothing has come: neither bytes nor an end.
+bool quiet(net::tcp::socket& socket) {
+  char byte = 0;
+  const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 // Nobody knows how long it will be, and it takes its time. `since`: its first byte.
 bool dawdles(const http::Framing& framing, Clock::time_point since) {
   return framing.kind != http::Framing::Kind::length && Clock::now() - since > kDawdles;
@@ -173,10 +180,7 @@
   while (!worker.idle.empty()) {
     auto connection = std::move(worker.idle.back());
     worker.idle.pop_back();
-    char byte = 0;
-    const auto got = ::recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool quiet = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    if (quiet && connection->idle_since > oldest) return connection;
+    if (quiet(connection->socket) && connection->idle_since > oldest) return connection;
   }
   return nullptr;
 }
@@ -326,7 +330,7 @@
     auto piece = body.take(kBodyPiece);
     const bool last = body.ended();
     if (piece.empty() && !last) {
-      if (readable(socket)) break;  // an answer before the end: it wants no more
+      if (!quiet(socket)) break;  // an answer before the end, or no worker any more
       call.more.expires_after(kBodyLook);
       co_await call.more.async_wait(net::kResult);
       continue;
