Write chunks in one place, and drop a line that nothing could reach

src/front/body_relay.cpp and src/attempt/attempts.cpp framed chunks alike; http::chunk serves both. In write_rest nothing is sent from within taken(), so no second buffer can stand there.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -3,7 +3,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdio>
+
+#include "http/chunk.h"
 
 namespace cranemux::attempt {
 namespace {
@@ -335,12 +336,7 @@
       co_await call.more.async_wait(net::kResult);
       continue;
     }
-    if (chunks) {
-      char size[20];
-      std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-      if (!piece.empty()) piece.insert(0, size).append("\r\n");
-      if (last) piece.append("0\r\n\r\n");
-    }
+    if (chunks) piece = http::chunk(std::move(piece), last);
     const auto [error, count] =
         co_await net::asio::async_write(socket, net::asio::buffer(piece), net::kResult);
     good = !error;
--- a/src/front/body_relay.cpp
+++ b/src/front/body_relay.cpp
@@ -1,6 +1,6 @@
 #include "front/body_relay.h"
 
-#include <cstdio>
+#include "http/chunk.h"
 
 namespace cranemux::front {
 namespace {
@@ -84,19 +84,8 @@
 
 void BodyRelay::send(std::string&& data, bool last) {
   const auto channel = channel_;  // it may go with what is sent
-  if (!channel->chunks()) {
-    if (!data.empty()) channel->send(data);
-    return;
-  }
-  std::string out;
-  if (!data.empty()) {
-    char size[20];
-    std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-    out.reserve(data.size() + 32);
-    out.append(size).append(data).append("\r\n");
-  }
-  if (last) out += "0\r\n\r\n";
-  channel->send(out);
+  const auto text = channel->chunks() ? http::chunk(std::move(data), last) : std::move(data);
+  if (!text.empty()) channel->send(text);
 }
 
 // An answer that is not whole ends with its connection, in the middle of its framing.
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -348,7 +348,6 @@
     counted();
     if (stream_ && out_.empty()) stream_->taken();
     if (broken_) co_return;
-    if (out_.empty() && !next_.empty()) out_ = std::exchange(next_, {});  // sent by `taken`
   }
   writing_ = false;
   written();
