Use a cold node's turn when it comes, not only when it is the best of all nodes

At fault: choose() weighed a cold node's time by 1/warmth, so a turn was hardly ever used, and refill_cold() drops an unused one after 1 s.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -62,6 +62,7 @@
 constexpr double kHedgeShare = 0.08;                      // second copies for each first attempt, at most
 constexpr Nanos kRateWindow = 4 * kSecond;                // memory of the own rate of answers
 constexpr double kColdFloor = 0.25;  // attempts a second to a cold server, from the whole fleet, at least
+constexpr double kColdTurn = 0.01;   // a turn at a cold server goes before any other: it is gone if not used
 constexpr double kMailPeers = 4;     // and more where its mail goes to more peers than these
 constexpr double kMailBurst = 5;     // messages that may go at once after a quiet spell
 constexpr Nanos kYoung = kSecond;    // a ledger takes told levels, and told attempts out stand, for this long
@@ -677,7 +678,7 @@
       const auto& server = servers_[i];
       if (!allowed(server) || !in_group(job, server)) continue;
       double cost = server.latency > 0 ? server.latency : kFirstLatency * static_cast<double>(job.klass->aim);
-      cost *= (server.open + 1) / warmth(server);
+      cost *= (server.open + 1) * (warmth(server) < 1 ? kColdTurn : 1);
       if (server.entry.zone != s_.zone) cost *= kOtherZone;
       cost *= 1 + 0.05 * static_cast<double>(random_() & 1023U) / 1024;
       for (const auto& attempt : job.attempts) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -576,6 +576,42 @@
   EXPECT_LE(to_cold, 24);
 }
 
+// A turn at a cold server that had to be the best of all as well was never used: 36 of 60 stood idle for 8 s
+// while the warm ones were overrun.
+TEST(Rules, ColdServersTakeTheirPartOfAFleetsRequests) {
+  std::map<Nanos, int> to_cold;  // by second
+  for (int g = 0; g < 40; ++g) {
+    auto s = base_settings();
+    s.gateways = 40;
+    s.index = g;
+    s.seed = 300 + static_cast<std::uint64_t>(g);
+    Door door(s);
+    int id = 0;
+    const auto ask = [&] {
+      const auto name = "r" + std::to_string(id++);
+      const auto before = door.sends.size();
+      door.feed({door.request(name, "rate", "look", "c" + std::to_string(id))});
+      if (door.sends.size() > before && door.sends.back().server == "cold") ++to_cold[door.now / kSecond];
+      door.run(door.now + 200 * kMs);
+      door.feed({door.outcome(name, Result::ok)});
+    };
+    door.run(door.now + 3200 * kMs);
+    for (int i = 0; i < 20; ++i) ask();
+    auto cold = server("cold");
+    cold.started = door.now;
+    door.feed({ServerList{ListScope::changes, {cold}}});
+    for (int i = 0; i < 25; ++i) ask();
+  }
+  ASSERT_GE(to_cold.size(), 5U);
+  int sum = 0;
+  for (const auto& [second, sends] : to_cold) sum += sends;
+  // Of 200 requests a second for 5 s, three warm servers and one that can do 0.2 to 0.6 of what they can: its
+  // part is 120, and the rule's budget for its first second twice a fifth of what each warm one can be sent.
+  EXPECT_GE(sum, 60);
+  EXPECT_LE(sum, 150);
+  EXPECT_LE(to_cold.begin()->second, 27);
+}
+
 TEST(Rules, ACeilingIsKeptFromTheFirstSecondOn) {
   Door door(lone_door());
   // Asked far beyond the ceiling for two seconds: the store is filled from nothing, by 20 a second.
