--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -32,7 +32,7 @@
   Count rpcs_over_budget = 0, rpcs_drained_pool = 0, rpcs_overflowed = 0, pools_removed = 0;
   Count log_lines_dropped = 0;
   Count reloads = 0, reloads_rejected = 0;
-  Count resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
+  Count resolver_calls = 0, resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
   Count graphql_taken = 0, graphql_rejected = 0, graphql_cost_mismatch = 0, graphql_over_burst = 0;
   Count documents_cached = 0, documents_read = 0, documents_evicted = 0, documents_registered = 0;
   Count documents_not_found = 0, documents_wrong_hash = 0, documents_untrusted = 0;
@@ -100,6 +100,7 @@
     visit("reloads", self.reloads);
     visit("reloads_rejected", self.reloads_rejected);
     visit("resolver_results", self.resolver_results);
+    visit("resolver_calls", self.resolver_calls);
     visit("resolver_breaks", self.resolver_breaks);
     visit("resolver_bad", self.resolver_bad);
     visit("graphql_taken", self.graphql_taken);
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::chrono::seconds kSilence{7};  // an empty line comes every 2 s
-constexpr std::chrono::milliseconds kFirstWait{50}, kLongestWait{1000};
+constexpr std::chrono::seconds kLasts{1};    // a watch that ends sooner has failed, whatever it brought
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
 cranemux::ServerState state_of(const std::string& text) {
@@ -26,11 +26,12 @@
 }
 
 Resolver::Resolver(net::asio::io_context& io, const config::Address& discovery, Listener listener,
-                   metrics::Logger& logger, metrics::Counters& counters)
+                   const Pacing& pacing, metrics::Logger& logger, metrics::Counters& counters)
     : socket_(io),
       timer_(io),
       discovery_(discovery),
       listener_(std::move(listener)),
+      pacing_(pacing),
       logger_(logger),
       counters_(counters) {
   to_steady_ = net::Clock::now().time_since_epoch() - std::chrono::system_clock::now().time_since_epoch();
@@ -77,22 +78,30 @@
 }
 
 net::awaitable<void> Resolver::watch() {
-  auto wait = kFirstWait;
+  co_await wait(pacing_.first());
   while (!stopped_) {
     good_ = false;
     if (std::exchange(moved_, false)) index_ = 0;
+    const auto begun = net::Clock::now();
+    ++counters_.resolver_calls;
     co_await follow();
     boost::system::error_code ignored;
     socket_.close(ignored);
     if (stopped_) co_return;
-    if (moved_) continue;
+    if (moved_) {
+      co_await wait(pacing_.moved());
+      continue;
+    }
     ++counters_.resolver_breaks;
-    wait = good_ ? kFirstWait : std::min(kLongestWait, wait * 2);
-    timer_.expires_after(wait);
-    co_await timer_.async_wait(net::kResult);
+    co_await wait(pacing_.again(good_ && net::Clock::now() - begun >= kLasts));
   }
 }
 
+net::awaitable<void> Resolver::wait(Pacing::Time time) {
+  timer_.expires_after(time);
+  co_await timer_.async_wait(net::kResult);
+}
+
 net::awaitable<void> Resolver::follow() {
   // Silence ends the watch: a connection to a machine that has vanished stays open.
   const auto allow = [this] {
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -7,6 +7,7 @@
 #include "cranemux/brain.h"
 #include "metrics/counters.h"
 #include "net/net.h"
+#include "resolver/pacing.h"
 
 namespace cranemux::resolver {
 
@@ -16,7 +17,7 @@
   using Listener = std::function<void(const config::ResolverResult&, cranemux::ListScope)>;
 
   Resolver(net::asio::io_context& io, const config::Address& discovery, Listener listener,
-           metrics::Logger& logger, metrics::Counters& counters);
+           const Pacing& pacing, metrics::Logger& logger, metrics::Counters& counters);
   void start(const config::ResolverResult& known, bool watches);
   void move(const config::Address& discovery);  // a new configuration: the watch goes there at once
   // The same as the module takes it.
@@ -26,6 +27,7 @@
 
  private:
   net::awaitable<void> watch();
+  net::awaitable<void> wait(Pacing::Time time);
   net::awaitable<void> follow();  // one watch, until it breaks
   void line(std::string_view text);
 
@@ -34,6 +36,7 @@
   net::asio::steady_timer timer_;
   config::Address discovery_;
   Listener listener_;
+  Pacing pacing_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   std::chrono::nanoseconds to_steady_{};  // steady clock less Unix time, fixed at the start
--- /dev/null
+++ b/tests/pacing_test.cpp
@@ -0,0 +1,124 @@
+// Many gatekeepers and one discovery, in virtual time.
+#include "resolver/pacing.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <vector>
+
+namespace cranemux::resolver {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Time = Pacing::Time;
+
+// One service for all calls: they wait in turn for 30 ms of work each, a failed one as well, and fail past 2
+// s.
+class Discovery {
+ public:
+  bool call(Time now) {
+    ++calls[now / seconds(1)];
+    free_ = std::max(free_, now);
+    if (free_ - now > seconds(2)) return false;
+    free_ += milliseconds(30);
+    return up;
+  }
+  int most() const {
+    int most = 0;
+    for (const auto& [second, count] : calls) most = std::max(most, count);
+    return most;
+  }
+  bool up = true;
+  std::map<std::int64_t, int> calls;  // by second
+
+ private:
+  Time free_{};
+};
+
+struct Tier {
+  explicit Tier(int count) {
+    for (int g = 0; g < count; ++g) {
+      gatekeepers.emplace_back(count, 1000 + static_cast<std::uint64_t>(g));
+      next.push({gatekeepers.back().first(), g});
+    }
+  }
+  // Whose call fails comes again; returns when the last one got through.
+  Time run(Discovery& discovery, Time until) {
+    Time last{};
+    while (!next.empty() && next.top().first <= until) {
+      const auto [now, g] = next.top();
+      next.pop();
+      if (discovery.call(now)) {
+        last = now;
+        ++through;
+      } else {
+        next.push({now + gatekeepers[static_cast<std::size_t>(g)].again(false), g});
+      }
+    }
+    return last;
+  }
+  using Call = std::pair<Time, int>;
+  std::vector<Pacing> gatekeepers;
+  std::priority_queue<Call, std::vector<Call>, std::greater<>> next;
+  int through = 0;
+};
+
+TEST(Pacing, AHerdThatStartsStaysUnderTheTiersRateAndAllAreServed) {
+  for (const int count : {2, 20, 100, 300}) {
+    Discovery discovery;
+    Tier tier(count);
+    const auto last = tier.run(discovery, seconds(60));
+    EXPECT_EQ(tier.through, count);
+    EXPECT_LE(last, tier.gatekeepers.front().spread()) << count;
+    EXPECT_LE(discovery.most(), Pacing::kCalls * 1.7) << count;  // any second of random times
+  }
+}
+
+TEST(Pacing, AFaultOfDiscoveryMakesTheTierQuieterAndAllComeBack) {
+  Discovery discovery;
+  discovery.up = false;
+  Tier tier(100);
+  tier.run(discovery, seconds(30));
+  EXPECT_EQ(tier.through, 0);
+  for (int second = 6; second < 30; ++second) EXPECT_LE(discovery.calls[second], 20) << second;
+  discovery.up = true;
+  tier.run(discovery, seconds(30) + tier.gatekeepers.front().longest());
+  EXPECT_EQ(tier.through, 100);
+}
+
+TEST(Pacing, AllThatLoseTheirWatchTogetherComeBackApart) {
+  Discovery discovery;
+  std::vector<Time> calls;
+  for (std::uint64_t g = 0; g < 100; ++g) calls.push_back(Pacing(100, g).again(true));
+  std::sort(calls.begin(), calls.end());
+  for (const auto call : calls) EXPECT_TRUE(discovery.call(call));
+  EXPECT_LE(discovery.most(), Pacing::kCalls * 1.7);
+}
+
+TEST(Pacing, AGatekeeperAloneCallsAtOnceAndBacksOff) {
+  Pacing pacing(1, 7);
+  EXPECT_EQ(pacing.first(), Time(0));
+  EXPECT_EQ(pacing.again(true), Pacing::kFirst);
+  Time before{};
+  for (int i = 0; i < 20; ++i) {
+    const auto wait = pacing.again(false);
+    EXPECT_GE(wait, Pacing::kFirst);
+    EXPECT_LE(wait, Pacing::kLongest);
+    before = wait;
+  }
+  EXPECT_GE(before, Pacing::kLongest / 2);
+  EXPECT_EQ(pacing.again(true), Pacing::kFirst);
+}
+
+TEST(Pacing, NobodyWaitsLongAtANewAddress) {
+  for (const int count : {1, 4, 500}) {
+    Pacing pacing(count, 3);
+    for (int i = 0; i < 100; ++i) EXPECT_LE(pacing.moved(), Pacing::kMoved);
+  }
+}
+
+}  // namespace
+}  // namespace cranemux::resolver
