--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -85,13 +85,15 @@
   bool load_in_probes = false;   // load reports come with probe results
   int max_attempts = 1;
   Nanos max_retry_after = 0;
-  Nanos quantum = 0;         // shortest time between steps
-  Nanos ask_within = 0;      // list_on_request: ask at least this often
-  Nanos drain_grace = 0;     // time to stop sending to a draining server
-  double cold_from = 1;      // a started server has at least this share of its capacity
-  Nanos warm_up = 0;         // and all of it after this long
-  double fall_multiple = 0;  // sent this many times what it can do ...
-  Nanos fall_window = 0;     // ... for this long, a cold server falls over; 0: it does not
+  double connection_price = 0;  // of a new connection to a server, in first tries
+  Nanos connection_idle = 0;    // a connection is closed when nothing was asked on it for this long
+  Nanos quantum = 0;            // shortest time between steps
+  Nanos ask_within = 0;         // list_on_request: ask at least this often
+  Nanos drain_grace = 0;        // time to stop sending to a draining server
+  double cold_from = 1;         // a started server has at least this share of its capacity
+  Nanos warm_up = 0;            // and all of it after this long
+  double fall_multiple = 0;     // sent this many times what it can do ...
+  Nanos fall_window = 0;        // ... for this long, a cold server falls over; 0: it does not
   bool operator==(const Settings&) const = default;
 };
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,6 @@
 // cranemux: every decision of a quota gateway. Interface: include/cranemux/brain.h
 //
-// Contents: tuned values; records; quota ledger and split; ceilings; held requests; peer messages; keepers;
+// Contents: tuned values; records; quota ledger and split, ceilings; held requests; peer messages; keepers;
 // server choice and health; attempts and answers; the clock.
 #include "cranemux/brain.h"
 
@@ -18,6 +18,7 @@
 #include "handover/module_state.h"
 #include "ledger/books.h"
 #include "ledger/report.h"
+#include "pool/answer_times.h"
 
 namespace cranemux {
 namespace {
@@ -41,15 +42,15 @@
 constexpr double kMailShare = 0.6;             // a gateway sends this share of the messages that one takes in
 constexpr int kBudgetsSeen = 3;                // tries with one budget, to the ms, before it tells anything
 constexpr double kOtherZone = 1.15;            // a server in another zone must be this much better
-constexpr double kFirstLatency = 0.15;         // of the aim: guess for a server never heard from
-constexpr double kLatencyGain = 0.15;          // weight of a new answer in a server's mean
-constexpr double kGood = 0.25;                 // answers within this share of the aim open the window
-constexpr double kBad = 0.4;                   // answers past this share of the aim close it
-constexpr Nanos kCutEvery = 100 * kMs;         // late answers closer together are one piece of news
-constexpr double kWindowCut = 0.8;             // by this factor
-constexpr double kWindowFirst = 8;             // own open attempts a server, first, shared by the gateways
-constexpr double kWindowLeast = 0.2;           // of one, first, where gateways are many
-constexpr double kWindowGrow = 0.03;           // there a good answer opens all windows by this share
+constexpr double kFirstLatency = 0.15;         // of the aim: guess for the mean answer, before the first
+constexpr double kOpening = 40;         // reluctance to open a connection, for each try that it is worth
+constexpr double kGood = 0.25;          // answers within this share of the aim open the window
+constexpr double kBad = 0.4;            // answers past this share of the aim close it
+constexpr Nanos kCutEvery = 100 * kMs;  // late answers closer together are one piece of news
+constexpr double kWindowCut = 0.8;      // by this factor
+constexpr double kWindowFirst = 8;      // own open attempts a server, first, shared by the gateways
+constexpr double kWindowLeast = 0.2;    // of one, first, where gateways are many
+constexpr double kWindowGrow = 0.03;    // there a good answer opens all windows by this share
 constexpr double kWindowMin = 0.25, kWindowMax = 32;  // parts of one count towards the sum over servers
 constexpr double kIdle = 0.3;                         // of the windows in use: under it servers take more
 constexpr double kWindowStep = 0.1;                   // opened by this for each good answer, over the window
@@ -223,7 +224,10 @@
     a.level = std::min(most, a.level + a.plan->rate * part * seconds);
     a.sure = std::min(a.sure, a.level);
     a.left = std::min(a.plan->burst, a.left + a.plan->rate * seconds);
-    a.ceiling = std::min(ceiling_cap(a), a.ceiling + a.plan->ceiling_rate / a.spread * seconds);
+    // Each gateway keeps the hard ceiling alone: a store of its even part, empty at every start, since an
+    // earlier life may have just spent it.
+    a.ceiling =
+        std::min(a.plan->ceiling_burst / a.spread, a.ceiling + a.plan->ceiling_rate / a.spread * seconds);
   }
 
   // An even share of D, while word of it is fresh, is spent at once; else what a keeper has granted.
@@ -259,12 +263,6 @@
     if (a.total > a.limit) note(a);  // it was not granted: the keeper must hear of it
   }
 
-  // ---- ceilings ---------------------------------------------------------------------------------
-
-  // Each gateway keeps the hard ceiling alone: a store of its even part, empty at every start, since
-  // an earlier life may have just spent it.
-  static double ceiling_cap(const Account& a) { return a.plan->ceiling_burst / a.spread; }
-
   // ---- held requests ----------------------------------------------------------------------------
 
   void on(const Request& request) {
@@ -539,7 +537,6 @@
       double step, units;
     };
     std::vector<Share> shares;
-    const double most = s_.most_units;
     double weights = 0, given = 0, d = std::floor(ledger.level + kRounding);
     if (plan.rate <= 0) d = plan.open_limit;
     for (const auto& [gateway, claim] : ledger.claims) {
@@ -548,7 +545,7 @@
       if (plan.rate <= 0 && age < kYoung) d -= static_cast<double>(claim.limit);
       if (lacks <= 0 || age > kCreditLife) continue;
       weights += claim.weight;
-      shares.push_back({random_(), gateway, plan.rate > 0 ? std::min(lacks, most) : 1, lacks});
+      shares.push_back({random_(), gateway, plan.rate > 0 ? std::min(lacks, s_.most_units) : 1, lacks});
     }
     for (auto& share : shares) {
       const double part = d * ledger.claims.at(share.gateway).weight / std::max(weights, 1e-9);
@@ -630,7 +627,6 @@
       return static_cast<int>(servers_.size()) - 1;
     }
     by_id_.erase(old->entry.id);
-    *old = Server{};
     return static_cast<int>(old - servers_.begin());
   }
 
@@ -679,8 +675,8 @@
     for (std::size_t i = 0; i < servers_.size(); ++i) {
       const auto& server = servers_[i];
       if (!allowed(server) || !in_group(job, server)) continue;
-      double cost = server.latency > 0 ? server.latency : kFirstLatency * static_cast<double>(job.klass->aim);
-      cost *= (server.open + 1) * (warmth(server) < 1 ? kColdTurn : 1);
+      double cost = times_.of(server) * (server.open + 1) * (warmth(server) < 1 ? kColdTurn : 1);
+      if (now_ - server.last_ok_sent > s_.connection_idle) cost *= 1 + kOpening * s_.connection_price;
       if (server.entry.zone != s_.zone) cost *= kOtherZone;
       cost *= 1 + 0.05 * static_cast<double>(random_() & 1023U) / 1024;
       for (const auto& attempt : job.attempts) {
@@ -703,19 +699,19 @@
     const auto aim = static_cast<double>(job.klass->aim);
     const auto took = static_cast<double>(outcome.took);
     const bool unanswered = outcome.result == Result::timeout || outcome.result == Result::cancelled;
+    if (outcome.result == Result::ok || (unanswered && took > kTimeoutMin * aim))
+      times_.learn(server, took / aim);
     if (outcome.result == Result::ok) {
       served_recently_ += 1;
-      server.latency = server.latency > 0 ? server.latency + kLatencyGain * (took - server.latency) : took;
       server.last_ok_sent = std::max(server.last_ok_sent, attempt.sent);
       server.strikes = 0;
       server.ejected_until = server.ejected_for = 0;
       if (took < kGood * aim) resize(server, 1);
     }
     const bool late = took > kBad * aim && (outcome.result == Result::ok || (unanswered && !attempt.cut));
-    if ((outcome.result == Result::full || late) && now_ - server.cut_at >= kCutEvery) {
-      server.cut_at = now_;
+    const bool its_own = fresh_.window < 1 && times_.slow(server);
+    if ((outcome.result == Result::full || (late && !its_own)) && now_ - server.cut_at >= kCutEvery)
       resize(server, -1);
-    }
     if (outcome.result == Result::reset || outcome.result == Result::connect_failed ||
         (unanswered && suspect(attempt) && took > kTimeoutMin * aim)) {
       if (++server.strikes < kStrikes && server.ejected_until == 0) return;
@@ -735,7 +731,7 @@
           fresh_.window >= 1 ? kWindowStep / std::max(1.0, other.window) : kWindowGrow * other.window;
       other.window =
           way > 0 ? std::min(kWindowMax, other.window + step) : std::max(least, other.window * kWindowCut);
-      other.cut_at = server.cut_at;
+      if (way < 0) other.cut_at = now_;
     }
   }
 
@@ -749,6 +745,7 @@
     }
     const double per_unit = served_recently_ * kSecond / kRateWindow / std::max(capacity, 1.0);
     for (auto& server : servers_) {
+      pool::AnswerTimes::fade(server, std::chrono::nanoseconds(passed));
       const double rate = per_unit * warmth(server) + kColdFloor / s_.gateways;
       server.cold_tokens += rate * static_cast<double>(passed) / kSecond;
       if (server.cold_tokens > 1 + rate) server.cold_tokens = rate < 1 ? phase() * rate : 1 + rate / 4;
@@ -763,7 +760,7 @@
   void send(Job& job, int server) {
     auto& target = servers_[static_cast<std::size_t>(server)];
     const auto aim = static_cast<double>(job.klass->aim);
-    const auto wait = std::clamp(3 * target.latency, kTimeoutMin * aim, kTimeoutMax * aim);
+    const auto wait = aim * std::clamp(3 * times_.of(target), kTimeoutMin, kTimeoutMax);
     job.next_try = now_ + static_cast<Nanos>(wait);
     const auto patience = end_of(job) - now_;
 
@@ -1013,6 +1010,7 @@
   bool pressed_ = false;  // no server had room for a held request at the last look
   bool freed_ = false;    // credits have come since the last look at held requests
   Nanos next_guard_ = 0, next_split_ = 0, next_tick_ = 0, last_tick_ = 0, refilled_ = 0;
+  pool::AnswerTimes times_{kFirstLatency};
   double served_recently_ = 0, hedge_tokens_ = 0;
   Server fresh_;
   std::vector<Server> servers_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -170,8 +170,7 @@
     using cranemux::config::number_of;
     config.connect_timeout =
         std::chrono::nanoseconds(number_of<std::int64_t>(info, "caps.connect-timeout-ns", 250'000'000));
-    config.connection_idle =
-        std::chrono::nanoseconds(number_of<std::int64_t>(info, "caps.conn-idle-ns", 30'000'000'000));
+    config.connection_idle = std::chrono::nanoseconds(config.settings.connection_idle);
   } catch (const cranemux::config::ParseError& error) {
     throw Error(std::string("settings: ") + error.what());
   }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -44,6 +44,8 @@
   s.load_in_probes = s.load_in_answers || text_of(info, "stats.source") == "pull";
   s.max_attempts = number_of<int>(info, "caps.most-tries", 1);
   s.max_retry_after = number_of<Nanos>(info, "caps.max-retry-after-ns");
+  s.connection_price = number_of<double>(info, "charges.handshake");
+  s.connection_idle = number_of<Nanos>(info, "caps.conn-idle-ns", 30'000'000'000);
   s.quantum = number_of<Nanos>(info, "quantum-ns");
   s.ask_within = number_of<Nanos>(info, "invariants.ask-within-ns");
   s.drain_grace = number_of<Nanos>(info, "invariants.drain-grace-ns");
--- a/src/handover/module_state.h
+++ b/src/handover/module_state.h
@@ -58,7 +58,7 @@
 
 template <typename Io>
 void fields(Io& io, Server& s) {
-  io(s.entry, s.latency, s.window, s.last_ok_sent, s.cut_at, s.ejected_until, s.ejected_for, s.listed,
+  io(s.entry, s.excess, s.window, s.last_ok_sent, s.cut_at, s.ejected_until, s.ejected_for, s.listed,
      s.strikes, s.cold_tokens);
 }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -432,6 +432,63 @@
   EXPECT_GE(sent, 15 * 10U * 3 / 4);
 }
 
+// Each gateway of a large fleet meets a server seldom. One that answers nothing was asked three times over
+// before it was avoided, and its lateness closed the windows of all the others.
+TEST(Choice, ASlowServerIsAvoidedAfterOneWaitAndClosesNoOthersWindow) {
+  auto s = base_settings();
+  s.gateways = 100;
+  std::vector<ServerEntry> servers;
+  for (int i = 0; i < 12; ++i) servers.push_back(server("s" + std::to_string(i)));
+  int to_slow = 0, first = 0;
+  std::size_t sent = 0;
+  for (s.index = 0; s.index < 20; ++s.index) {
+    s.seed = 700 + static_cast<std::uint64_t>(s.index);
+    Door door(s, servers);
+    door.run(door.now + 3200 * kMs);
+    for (int i = 0; i < 30; ++i) {
+      const auto name = "r" + std::to_string(i);
+      const auto before = door.sends.size();
+      door.feed({door.request(name, "rate", "book", "c" + std::to_string(i))});
+      door.run(door.now + 100 * kMs);
+      if (door.sends.size() == before) continue;
+      const bool slow = door.sends.back().server == "s0";
+      to_slow += slow ? 1 : 0;
+      first += slow && i < 12 ? 1 : 0;
+      if (slow) door.run(door.now + 400 * kMs);
+      door.feed({door.outcome(name, slow ? Result::timeout : Result::ok, 0, slow ? 500 * kMs : 50 * kMs)});
+    }
+    sent += door.sends.size();
+  }
+  EXPECT_GT(first, 0);
+  EXPECT_LE(to_slow, 25);  // of 20 gateways
+  EXPECT_GE(sent, 20 * 30 * 9U / 10);
+}
+
+// Where new connections have a price, a gateway of many stays with the servers that it knows; without, it
+// tries others.
+TEST(Choice, APriceOfConnectionsKeepsToServersInUse) {
+  std::map<double, std::size_t> used;
+  for (const double price : {0.0, 0.08}) {
+    auto s = lone_door();
+    s.connection_price = price;
+    s.connection_idle = 30 * kSecond;
+    std::vector<ServerEntry> servers;
+    for (int i = 0; i < 40; ++i) servers.push_back(server("s" + std::to_string(i)));
+    Door door(s, servers);
+    for (int i = 0; i < 100; ++i) {
+      const auto name = "r" + std::to_string(i);
+      door.feed({door.request(name, "rate", "look", "c" + std::to_string(i))});
+      door.run(door.now + 100 * kMs);
+      door.feed({door.outcome(name, Result::ok, 0, (150 + 40 * (i % 3)) * kMs)});
+    }
+    std::set<std::string> names;
+    for (const auto& send : door.sends) names.insert(send.server);
+    used[price] = names.size();
+  }
+  EXPECT_GE(used[0.0], 10U);
+  EXPECT_LE(used[0.08], 5U);
+}
+
 TEST(Hold, ACreditlessRequestWaitsAndIsThenRefusedWithinItsBound) {
   Door door(base_settings());
   door.run(door.now + 500 * kMs);
