Pace calls for lists only where discovery is asked; an own agent is called at once

There discovery is pushed: the address is the machine's own agent, and restarted gatekeepers called it 2 to 3 s late. Ruled out: the spread alone (4 s in place of 15: still 511). At fault: Pool's pacing of every discovery by the number of gatekeepers.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 
 #include "http/chunk.h"
 
@@ -148,6 +149,7 @@
     ++call->worker->busy;
     limit(call, std::min(call->give_up, call->started + limits_.connect_timeout));
     call->connection = reuse(*call->worker);
+    const bool kept = call->connection != nullptr;
     const bool up = call->connection || co_await open(*call);
     // A drain may have begun while the connection came up.
     const bool late = Clock::now() >= call->worker->stop_at;
@@ -157,6 +159,7 @@
     } else if (call->no_room || (up && late)) {
       result.result = Result::moot;  // nothing was sent, and the worker is not to blame
     }
+    log_end(*call, result.result, kept);
     call->timer.cancel();
     --call->worker->busy;
     if (call->connection) {
@@ -175,6 +178,16 @@
   core_.attempt_ended(call->rpc, call->attempt, std::move(result));
 }
 
+// tools/count-attempts adds these up over a fleet.
+void Attempts::log_end(const Call& call, Result result, bool kept) const {
+  static constexpr std::array kNames{"ok",    "error",     "full", "timeout", "connect_failed",
+                                     "reset", "cancelled", "moot"};
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - call.started);
+  logger_.log(metrics::Level::debug, "attempt rpc=", call.rpc, " number=", call.attempt,
+              " node=", call.worker->entry.name, " result=", kNames.at(static_cast<std::size_t>(result)),
+              " ms=", took.count(), " connection=", kept ? "kept" : "new");
+}
+
 // An idle connection, if one is surely still open: the worker's machine may have closed it, and soon will.
 std::unique_ptr<Attempts::Connection> Attempts::reuse(Worker& worker) {
   const auto oldest = Clock::now() - limits_.connection_idle * 4 / 5;
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -111,6 +111,7 @@
   net::awaitable<bool> send_body(Call& call, BodyPipe& body);
   core::AttemptResult begin_stream(Call& call, const http::Message& head);
   core::AttemptResult begin_long(Call& call, const http::Message& head, const http::Framing& framing);
+  void log_end(const Call& call, cranemux::Result result, bool kept) const;
   std::unique_ptr<Connection> reuse(Worker& worker);
   core::AttemptResult broken(const Call& call) const;
   void limit(const std::shared_ptr<Call>& call, net::Clock::time_point at);
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -10,12 +10,6 @@
           std::chrono::nanoseconds(config.settings.drain_grace)};
 }
 
-// A stream of its own from the process's one seed: the module draws from the seed itself.
-resolver::Pacing pacing_of(const cranemux::Settings& settings) {
-  constexpr std::uint64_t kStream = 0x9e3779b97f4a7c15;
-  return {settings.gateways, settings.seed ^ kStream};
-}
-
 }  // namespace
 
 Shared shared_of(const config::Totals& totals) {
@@ -39,7 +33,7 @@
           [this](const config::ResolverResult& result, cranemux::ListScope scope) {
             list_changed(nodes_.told(result, scope != cranemux::ListScope::changes), scope);
           },
-          pacing_of(config.settings), logger, counters),
+          resolver::pacing_of(config.settings), logger, counters),
       turn_timer_(io) {
   core_.connect(attempts_, *line_, *this);
 }
--- a/src/resolver/pacing.h
+++ b/src/resolver/pacing.h
@@ -8,12 +8,15 @@
 #include <cstdint>
 #include <random>
 
+#include "cranemux/brain.h"
+
 namespace cranemux::resolver {
 
 class Pacing {
  public:
   using Time = std::chrono::nanoseconds;
-  static constexpr double kCalls = 20;                                    // a second, of the whole tier
+  static constexpr double kCalls = 20;  // a second, of the whole tier, and more only where ...
+  static constexpr std::chrono::milliseconds kKnown{4000};  // ... all would not have called within this
   static constexpr std::chrono::milliseconds kFirst{50}, kLongest{1000};  // waits of a gatekeeper alone
   static constexpr std::chrono::milliseconds kMoved{2000};  // at most: a new address counts as known soon
 
@@ -33,4 +36,8 @@
   int failures_ = 0;
 };
 
+// Where changes come by themselves, discovery's address is an agent of this machine's own: nobody else waits
+// for it, and what it has counts as told at once. There each gatekeeper calls as if alone.
+Pacing pacing_of(const cranemux::Settings& settings);
+
 }  // namespace cranemux::resolver
