Believe no resolver result that is empty, older than the list in use, or larger than any fleet

Seen by the new tests on the code before: an empty whole list emptied the list; an older one brought back nodes that had gone; after a damaged line the lines behind it in the same bytes were taken and moved the version on, so what the damaged one said was never asked for again (Resolver::line, follow); index 1e300 and since_ms 1e300 went through casts that cannot hold them (config.cpp); a whole list was compared with the workers name by name, a square of its length (Attempts::resolved). Ruled out: crashes and loops on torn, huge, refused or stalled watches, which ended and backed off already. resolver::Intake, free of I/O, now says what is taken; a refused one ends the watch, the list stays, and the whole list is asked for later each time. Three older whole lists on end are believed: discovery counts from new then. Counters resolver_empty, resolver_older, resolver_crowded.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <string_view>
+#include <unordered_set>
 
 #include "http/chunk.h"
 
@@ -59,10 +61,10 @@
     worker.stop_at = std::min(worker.stop_at, Clock::now() + limits_.drain_grace - kDrainMargin);
   };
   if (whole) {  // who is not in it is gone
+    std::unordered_set<std::string_view> listed;
+    for (const auto& entry : result.entries) listed.insert(entry.name);
     for (auto& [name, worker] : workers_) {
-      const auto listed = std::any_of(result.entries.begin(), result.entries.end(),
-                                      [&, n = name](const auto& e) { return e.name == n; });
-      if (!listed) stop(*worker, "left");
+      if (!listed.contains(name)) stop(*worker, "left");
     }
   }
   for (const auto& entry : result.entries) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -27,6 +27,19 @@
   return found->as_double(absent);
 }
 
+// A damaged figure must not reach a cast or a sum that cannot hold it.
+double number_within(const json::Value& value, const std::string& name, const std::string& path,
+                     double absent, double least, double most) {
+  const double number = number_or(value, name, path, absent);
+  if (number >= least && number <= most) return number;
+  throw Error(path + name + ": out of range");
+}
+
+constexpr double kMostExact = 9'007'199'254'740'992;  // 2^53: whole numbers are exact up to here
+constexpr double kMostCell = 1e9;
+constexpr double kMostWeight = 1e6;
+constexpr double kMostUnixMs = 4e12;  // the year 2096
+
 // Nested objects become path=value pairs; lists of plain values are joined by commas, others counted.
 void flatten(const json::Value& value, const std::string& path, Fields& out) {
   if (const auto* object = value.object()) {
@@ -90,7 +103,7 @@
   if (!value.object()) throw Error(key + ": must be an object");
   ResolverResult result;
   const auto path = key + ".";
-  result.index = static_cast<std::int64_t>(number_or(value, "index", path, 0));
+  result.index = static_cast<std::int64_t>(number_within(value, "index", path, 0, 0, kMostExact));
   const auto* snapshot = value.find("snapshot");
   result.snapshot = snapshot && snapshot->boolean() && *snapshot->boolean();
   const auto* entries = need(value, "endpoints", path).array();
@@ -108,9 +121,10 @@
     if (address && address->string()) entry.address = parse_address(*address->string(), at + "address");
     if (entry.state != "left" && entry.address.port == 0) throw Error(at + "address: missing");
     if (const auto* zone = item.find("zone"); zone && zone->string()) entry.zone = *zone->string();
-    entry.cell = static_cast<int>(number_or(item, "group", at, 0));
-    entry.weight = number_or(item, "weight", at, 1);
-    entry.since = std::chrono::milliseconds(static_cast<std::int64_t>(number_or(item, "since_ms", at, 0)));
+    entry.cell = static_cast<int>(number_within(item, "group", at, 0, -kMostCell, kMostCell));
+    entry.weight = number_within(item, "weight", at, 1, 0, kMostWeight);
+    entry.since = std::chrono::milliseconds(
+        static_cast<std::int64_t>(number_within(item, "since_ms", at, 0, 0, kMostUnixMs)));
     result.entries.push_back(std::move(entry));
   }
   return result;
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -33,6 +33,7 @@
   Count log_lines_dropped = 0;
   Count reloads = 0, reloads_rejected = 0;
   Count resolver_calls = 0, resolver_results = 0, resolver_breaks = 0, resolver_bad = 0;
+  Count resolver_empty = 0, resolver_older = 0, resolver_crowded = 0;
   Count graphql_taken = 0, graphql_rejected = 0, graphql_cost_mismatch = 0, graphql_over_burst = 0;
   Count documents_cached = 0, documents_read = 0, documents_evicted = 0, documents_registered = 0;
   Count documents_not_found = 0, documents_wrong_hash = 0, documents_untrusted = 0;
@@ -103,6 +104,9 @@
     visit("resolver_calls", self.resolver_calls);
     visit("resolver_breaks", self.resolver_breaks);
     visit("resolver_bad", self.resolver_bad);
+    visit("resolver_empty", self.resolver_empty);
+    visit("resolver_older", self.resolver_older);
+    visit("resolver_crowded", self.resolver_crowded);
     visit("graphql_taken", self.graphql_taken);
     visit("graphql_rejected", self.graphql_rejected);
     visit("graphql_cost_mismatch", self.graphql_cost_mismatch);
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -38,7 +38,7 @@
 }
 
 void Resolver::start(const config::ResolverResult& known, bool watches) {
-  index_ = known.index;
+  intake_.begin(known);
   listener_(known, cranemux::ListScope::stored);
   if (watches) scope_.spawn(socket_.get_executor(), logger_, "discovery", watch());
 }
@@ -81,7 +81,7 @@
   co_await wait(pacing_.first());
   while (!stopped_) {
     good_ = false;
-    if (std::exchange(moved_, false)) index_ = 0;
+    if (std::exchange(moved_, false)) intake_.moved();
     const auto begun = net::Clock::now();
     ++counters_.resolver_calls;
     co_await follow();
@@ -114,7 +114,7 @@
   allow();
   const auto [refused] = co_await socket_.async_connect(net::endpoint<net::tcp>(discovery_), net::kResult);
   if (refused) co_return;
-  const auto request = "GET /registry/instances?watch=1&after=" + std::to_string(index_) +
+  const auto request = "GET /registry/instances?watch=1&after=" + std::to_string(intake_.after()) +
                        " HTTP/1.1\r\nHost: " + discovery_.host + "\r\n\r\n";
   const auto [failed, written] =
       co_await net::asio::async_write(socket_, net::asio::buffer(request), net::kResult);
@@ -143,29 +143,49 @@
     }
     std::size_t at = 0;
     for (auto end = text.find('\n'); end != std::string::npos; end = text.find('\n', at)) {
-      line(std::string_view(text).substr(at, end - at));
+      // What follows one that is not taken builds on it.
+      if (!line(std::string_view(text).substr(at, end - at))) co_return;
       at = end + 1;
     }
     text.erase(0, at);
   }
 }
 
-void Resolver::line(std::string_view text) {
+bool Resolver::line(std::string_view text) {
   while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) text.remove_suffix(1);
-  if (text.empty()) return;
+  if (text.empty()) return true;
   try {
     const auto result = config::parse_resolver_result(json::parse(text), "discovery");
+    const auto verdict = intake_.judge(result);
+    if (verdict != Intake::Verdict::taken) {
+      refuse(verdict, result);
+      return false;
+    }
     ++counters_.resolver_results;
     good_ = true;
-    index_ = result.index;
     listener_(result, result.snapshot ? cranemux::ListScope::full : cranemux::ListScope::changes);
+    return true;
   } catch (const std::exception& error) {  // damaged: the next watch brings the whole list
     ++counters_.resolver_bad;
-    index_ = 0;
+    intake_.damaged();
     logger_.log(metrics::Level::warning, "discovery: ", error.what());
-    boost::system::error_code ignored;
-    socket_.close(ignored);
+    return false;
+  }
+}
+
+void Resolver::refuse(Intake::Verdict why, const config::ResolverResult& result) {
+  switch (why) {
+    case Intake::Verdict::empty:
+      ++counters_.resolver_empty;
+      break;
+    case Intake::Verdict::older:
+      ++counters_.resolver_older;
+      break;
+    default:
+      ++counters_.resolver_crowded;
   }
+  logger_.log(metrics::Level::warning, "discovery: version ", result.index, " with ", result.entries.size(),
+              " nodes is not taken; the list stays as it was");
 }
 
 }  // namespace cranemux::resolver
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -7,6 +7,7 @@
 #include "cranemux/brain.h"
 #include "metrics/counters.h"
 #include "net/net.h"
+#include "resolver/intake.h"
 #include "resolver/pacing.h"
 
 namespace cranemux::resolver {
@@ -28,8 +29,9 @@
  private:
   net::awaitable<void> watch();
   net::awaitable<void> wait(Pacing::Time time);
-  net::awaitable<void> follow();  // one watch, until it breaks
-  void line(std::string_view text);
+  net::awaitable<void> follow();     // one watch, until it breaks
+  bool line(std::string_view text);  // false: the watch is of no more use
+  void refuse(Intake::Verdict why, const config::ResolverResult& result);
 
   net::Scope scope_;
   net::tcp::socket socket_;
@@ -40,7 +42,7 @@
   metrics::Logger& logger_;
   metrics::Counters& counters_;
   std::chrono::nanoseconds to_steady_{};  // steady clock less Unix time, fixed at the start
-  std::int64_t index_ = 0;
+  Intake intake_;
   bool stopped_ = false;
   bool moved_ = false;  // discovery is elsewhere since the watch began
   bool good_ = false;   // this watch has brought something
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -329,6 +329,38 @@
   EXPECT_FALSE(b.told.empty());
 }
 
+// Datagrams may come late or again, also those of a life that has ended: what it had been granted is neither
+// given back nor granted anew.
+TEST(Ledger, MailOfALifeLongGoneGivesNothingBack) {
+  Door a(base_settings()), b(second_door());
+  exchange(a, b, a.now + 5 * kSecond);
+  for (int i = 0; i < 12; ++i) {
+    a.feed({a.request("a" + std::to_string(i), "rate")});
+    b.feed({b.request("b" + std::to_string(i), "rate")});
+  }
+  b.run(b.now + 20 * kMs);
+  const auto old = b.told;
+  ASSERT_FALSE(old.empty());
+  const auto begun = a.now;
+  exchange(a, b, a.now + kSecond);
+  auto settings = second_door();
+  settings.seed = 99;
+  Door fresh(settings);
+  fresh.now = a.now;
+  for (int i = 0; i < 300; ++i) {
+    for (const auto& t : old) a.feed({PeerMessage{1, t.bytes}});
+    if (i % 10 == 0) {
+      a.feed({a.request("c" + std::to_string(i), "rate")});
+      fresh.feed({fresh.request("d" + std::to_string(i), "rate")});
+    }
+    exchange(a, fresh, a.now + 10 * kMs);
+  }
+  const double filled = 6 + 2 * static_cast<double>(a.now - begun) / kSecond;
+  const auto sent = a.sends.size() + b.sends.size() + fresh.sends.size();
+  EXPECT_LE(static_cast<double>(sent), filled + 3);
+  EXPECT_GT(static_cast<double>(sent), filled / 2);  // nor is it withheld
+}
+
 // i72b8d1: more customers at once than one message holds must not leave some untold and spent twice.
 TEST(Ledger, ManyCustomersAreHeldToTheirQuotaAcrossGateways) {
   auto one = base_settings();
@@ -377,6 +409,31 @@
   }
 }
 
+// The smallest tier and one far larger than any planned: each request ends in its time, and what no message
+// of a tier says is told by none.
+TEST(Messages, ATierOfOneAndOneOfFiveHundred) {
+  for (const int gateways : {1, 500}) {
+    auto s = base_settings();
+    s.gateways = gateways;
+    s.index = gateways - 1;
+    Door door(s);
+    for (int i = 0; i < 40; ++i) {
+      door.feed({door.request("r" + std::to_string(i), "rate", "look", "c" + std::to_string(i % 20)),
+                 PeerMessage{gateways, "x"}, PeerMessage{-1, "x"}, PeerMessage{gateways - 1, "x"}});
+      door.run(door.now + 100 * kMs);
+    }
+    door.run(door.now + 2 * kSecond);
+    std::set<std::string> seen = door.refused;
+    for (const auto& send : door.sends) seen.insert(send.request);
+    EXPECT_EQ(seen.size(), 40U) << gateways;  // sent on or refused, none forgotten
+    EXPECT_EQ(door.told.empty(), gateways == 1);
+    for (const auto& t : door.told) {
+      EXPECT_TRUE(t.to >= 0 && t.to < gateways - 1);
+      EXPECT_LE(t.bytes.size(), s.message_bytes);
+    }
+  }
+}
+
 // A keeper that does not answer is passed over; where none answers a request borrows within its hold bound.
 TEST(Keepers, OneThatIsSilentHasStandIns) {
   auto s = base_settings();
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -103,6 +103,20 @@
   EXPECT_LE(discovery.most(), Pacing::kCalls * 1.7);
 }
 
+// However often: watches that end at once count as failed ones.
+TEST(Pacing, WatchesThatEndAtOnceAgainAndAgainStayUnderTheTiersRate) {
+  for (const int count : {100, 500}) {
+    std::map<std::int64_t, int> calls;
+    for (int g = 0; g < count; ++g) {
+      Pacing pacing(count, static_cast<std::uint64_t>(g));
+      for (auto at = pacing.first(); at < seconds(60); at += pacing.again(false)) ++calls[at / seconds(1)];
+    }
+    for (int second = 5; second < 60; ++second) {
+      EXPECT_LE(calls[second], 2 * std::max(Pacing::kCalls, count / 4.0)) << count << " at " << second;
+    }
+  }
+}
+
 TEST(Pacing, AGatekeeperAloneCallsAtOnceAndBacksOff) {
   Pacing pacing(1, 7);
   EXPECT_EQ(pacing.first(), Time(0));
--- /dev/null
+++ b/tests/resolver_test.cpp
@@ -0,0 +1,189 @@
+// What a watch brings, or does not: the list in use never gets worse by it, and discovery is called less.
+#include "resolver/resolver.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "pool/node_list.h"
+#include "resolver/intake.h"
+#include "testing/discovery.h"
+
+namespace cranemux::resolver {
+namespace {
+
+using testing::Discovery;
+using testing::list_line;
+using testing::milliseconds;
+using Verdict = Intake::Verdict;
+
+config::ResolverResult result(std::int64_t index, bool whole, std::size_t nodes) {
+  config::ResolverResult out{index, whole, {}};
+  for (std::size_t i = 0; i < nodes; ++i) {
+    config::ListEntry entry;
+    entry.name = "s" + std::to_string(i);
+    entry.state = "active";
+    out.entries.push_back(entry);
+  }
+  return out;
+}
+
+TEST(Intake, NeitherAnEmptyListNorAnOlderOneIsTaken) {
+  Intake intake;
+  intake.begin(result(41, true, 3));
+  EXPECT_EQ(intake.after(), 41);
+  EXPECT_EQ(intake.judge(result(50, true, 0)), Verdict::empty);
+  EXPECT_EQ(intake.after(), 0);  // the whole list is asked for
+  EXPECT_EQ(intake.judge(result(40, true, 3)), Verdict::older);
+  EXPECT_EQ(intake.judge(result(12, false, 1)), Verdict::older);
+  EXPECT_EQ(intake.judge(result(42, true, 2)), Verdict::taken);
+  EXPECT_EQ(intake.after(), 42);
+  EXPECT_EQ(intake.judge(result(42, false, 0)), Verdict::taken);  // nothing has changed
+}
+
+TEST(Intake, AnEmptyListIsTakenWhereNothingWasKnown) {
+  Intake intake;
+  intake.begin(result(0, true, 0));
+  EXPECT_EQ(intake.judge(result(7, true, 0)), Verdict::taken);
+}
+
+TEST(Intake, ADiscoveryThatCountsFromNewIsBelievedInTheEnd) {
+  Intake intake;
+  intake.begin(result(900, true, 3));
+  for (int i = 1; i < Intake::kRenumbered; ++i) EXPECT_EQ(intake.judge(result(2, true, 3)), Verdict::older);
+  EXPECT_EQ(intake.judge(result(3, true, 3)), Verdict::taken);
+  EXPECT_EQ(intake.judge(result(4, false, 1)), Verdict::taken);
+  intake.begin(result(900, true, 3));
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(intake.judge(result(5, false, 1)), Verdict::older);
+}
+
+TEST(Intake, AnotherDiscoveryHasVersionsOfItsOwn) {
+  Intake intake;
+  intake.begin(result(900, true, 3));
+  intake.moved();
+  EXPECT_EQ(intake.after(), 0);
+  EXPECT_EQ(intake.judge(result(2, true, 0)), Verdict::empty);
+  EXPECT_EQ(intake.judge(result(2, true, 1)), Verdict::taken);
+}
+
+TEST(Intake, AListLargerThanAnyFleetIsNotTaken) {
+  Intake intake;
+  intake.begin(result(1, true, 3));
+  EXPECT_EQ(intake.judge(result(2, true, Intake::kMostNodes + 1)), Verdict::crowded);
+  EXPECT_EQ(intake.judge(result(3, true, Intake::kMostNodes)), Verdict::taken);
+}
+
+// A resolver with the list that it has told, as a pool holds it.
+struct Watched {
+  explicit Watched(int gatekeepers = 1)
+      : resolver(
+            stage.io(), {"127.0.0.1", static_cast<std::uint16_t>(discovery.port())},
+            [this](const config::ResolverResult& told, ListScope scope) {
+              list.told(told, scope != ListScope::changes);
+              ++tellings;
+            },
+            Pacing(gatekeepers, 5), logger, counters) {}
+  ~Watched() {
+    resolver.stop();
+    stage.play_until([&] { return resolver.idle(); });
+  }
+  void start(std::size_t nodes = 3) { resolver.start(result(41, true, nodes), true); }
+  bool until_calls(std::size_t count) {
+    return stage.play_until([&] { return discovery.calls.size() >= count; });
+  }
+
+  testing::Stage stage;
+  Discovery discovery{stage};
+  metrics::Logger logger{STDERR_FILENO, metrics::Level::error};
+  metrics::Counters counters;
+  pool::NodeList list;
+  int tellings = 0;
+  Resolver resolver;
+};
+
+const std::string kHead = Discovery::head();
+
+// Each of them leaves the three nodes known at first in use, and a good list after it is taken.
+TEST(Resolver, NoDamageEmptiesTheList) {
+  const std::vector<std::string> damages = {
+      "",                                                                  // accepted, then closed
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",     //
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",                    // no watch
+      "HTT",                                                               // half a line
+      kHead + "5\r\n{\"ind",                                               // half a chunk
+      kHead + Discovery::chunk("{\"index\":50,\"snapshot\":true,\"endp"),  // half an object, without its end
+      kHead + Discovery::chunk("{\"index\":50,\"snapshot\":true,\"endpoints\":[{\"name\":\"s0\"\n"),
+      kHead + Discovery::chunk(list_line(50, true, {})),
+      kHead + Discovery::chunk(list_line(3, true, {"old"})),
+      kHead + Discovery::chunk(list_line(3, false, {"s0", "s1", "s2"}, "left")),
+      kHead + Discovery::chunk(list_line(50, true, {"a"}, "sleeping")),
+      kHead + Discovery::chunk(R"({"index":1e300,"snapshot":true,"endpoints":[]})"
+                               "\n"),
+      kHead + Discovery::chunk(R"({"index":50,"snapshot":true,"endpoints":[{"name":"a",)"
+                               R"("address":"127.0.0.1:7","status":"active","since_ms":1e300}]})"
+                               "\n"),
+      kHead + Discovery::chunk(R"({"index":50,"snapshot":true,"endpoints":[{"name":"a",)"
+                               R"("address":"127.0.0.1:7","status":"active","group":-1e300}]})"
+                               "\n"),
+      kHead + Discovery::chunk(list_line(50, true, std::vector<std::string>(Intake::kMostNodes + 1, "many"))),
+      kHead + "ffffffff\r\n" + std::string(5 * 1024 * 1024, 'x'),
+  };
+  for (const auto& damage : damages) {
+    Watched watched;
+    watched.discovery.raw(damage);
+    watched.discovery.answer(list_line(60, true, {"a", "b"}), Discovery::Then::stay);
+    watched.start();
+    ASSERT_TRUE(watched.until_calls(2)) << damage.substr(0, 200);
+    ASSERT_TRUE(watched.stage.play_until([&] { return watched.list.usable() == 2; }))
+        << damage.substr(0, 200);
+    EXPECT_EQ(watched.tellings, 2) << damage.substr(0, 200);  // the first list, and the good one
+  }
+}
+
+// What comes after a damaged line in the same bytes builds on what was lost with it.
+TEST(Resolver, ChangesAfterADamagedLineAreNotTaken) {
+  Watched watched;
+  watched.discovery.answer("{nonsense}\n" + list_line(52, false, {"s0"}, "left"));
+  watched.discovery.answer(list_line(60, true, {"a", "b"}), Discovery::Then::stay);
+  watched.start();
+  ASSERT_TRUE(watched.stage.play_until([&] { return watched.list.usable() == 2; }));
+  EXPECT_EQ(watched.tellings, 2);
+  EXPECT_NE(watched.discovery.calls[0].find("after=41 "), std::string::npos);
+  EXPECT_NE(watched.discovery.calls[1].find("after=0 "), std::string::npos);
+}
+
+TEST(Resolver, NamesAndAddressesTwice) {
+  Watched watched;
+  const std::string where = "\"address\":\"127.0.0.1:7\",\"zone\":\"z\",\"status\":";
+  watched.discovery.answer("{\"index\":50,\"snapshot\":true,\"endpoints\":[{\"name\":\"a\"," + where +
+                               "\"active\"},{\"name\":\"a\"," + where + "\"leaving\"},{\"name\":\"b\"," +
+                               where + "\"active\"}]}\n",
+                           Discovery::Then::stay);
+  watched.start();
+  ASSERT_TRUE(watched.stage.play_until([&] { return watched.list.size() == 2; }));
+  EXPECT_EQ(watched.list.usable(), 1U);  // the last word on a name holds; an address may be that of two
+}
+
+// A watch that ends at once, whatever it brings, is a fault: the calls become fewer, not more.
+TEST(Resolver, AWatchThatEndsAtOnceAgainAndAgainIsCalledLess) {
+  Watched watched;
+  for (int i = 0; i < 100; ++i) watched.discovery.answer(list_line(50 + i, true, {"a", "b"}));
+  watched.start();
+  const auto begin = testing::Clock::now();
+  ASSERT_TRUE(watched.until_calls(6));
+  // Five waits, each twice the one before it or the longest: half of each at the least.
+  EXPECT_GE(testing::Clock::now() - begin, milliseconds(50 + 100 + 200 + 400 + 500));
+  EXPECT_EQ(watched.list.usable(), 2U);
+}
+
+TEST(Resolver, NobodyThereCostsNothingButCalls) {
+  Watched watched;
+  watched.resolver.move({"127.0.0.1", 1});
+  watched.start();
+  ASSERT_TRUE(watched.stage.play_until([&] { return watched.counters.resolver_breaks >= 4; }));
+  EXPECT_EQ(watched.list.usable(), 3U);
+  EXPECT_LE(watched.counters.resolver_calls, watched.counters.resolver_breaks + 1);
+}
+
+}  // namespace
+}  // namespace cranemux::resolver
