Let a large fleet's windows follow how much slower answers are than usual

Answers are exponential there: two in five are past 0.4 of their aim with nothing to press the nodes, and each of these closed all windows by a fifth, while only every other opened them by 3%. At fault: judge() and resize(), kGood and kBad as shares of the aim. Now pool::Load holds the last ten answers against the usual ones, which are learnt; past 1.4 times windows close.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,6 +19,8 @@
 #include "ledger/books.h"
 #include "ledger/report.h"
 #include "pool/answer_times.h"
+#include "pool/load.h"
+#include "pool/windows.h"
 
 namespace cranemux {
 namespace {
@@ -47,17 +49,11 @@
 constexpr double kGood = 0.25;          // answers within this share of the aim open the window
 constexpr double kBad = 0.4;            // answers past this share of the aim close it
 constexpr Nanos kCutEvery = 100 * kMs;  // late answers closer together are one piece of news
-constexpr double kWindowCut = 0.8;      // by this factor
-constexpr double kWindowFirst = 8;      // own open attempts a server, first, shared by the gateways
-constexpr double kWindowLeast = 0.2;    // of one, first, where gateways are many
-constexpr double kWindowGrow = 0.03;    // there a good answer opens all windows by this share
-constexpr double kWindowMin = 0.25, kWindowMax = 32;  // parts of one count towards the sum over servers
-constexpr double kIdle = 0.3;                         // of the windows in use: under it servers take more
-constexpr double kWindowStep = 0.1;                   // opened by this for each good answer, over the window
-constexpr double kQueueOfAim = 0.2;    // wait for a server with a credit, as a share of the aim
-constexpr int kStrikes = 3;            // failures in a row that eject a server
-constexpr int kDoubt = 2;              // and by then what is late there is called off to try elsewhere
-constexpr Nanos kEject = 2 * kSecond;  // first ejection; doubles up to kEjectMax
+constexpr double kIdle = 0.3;           // of the windows in use: under it servers take more
+constexpr double kQueueOfAim = 0.2;     // wait for a server with a credit, as a share of the aim
+constexpr int kStrikes = 3;             // failures in a row that eject a server
+constexpr int kDoubt = 2;               // and by then what is late there is called off to try elsewhere
+constexpr Nanos kEject = 2 * kSecond;   // first ejection; doubles up to kEjectMax
 constexpr Nanos kEjectMax = 4 * kSecond;
 constexpr double kTimeoutMin = 0.30, kTimeoutMax = 0.50;  // of the aim: when to try elsewhere
 constexpr double kHedgeShare = 0.08;                      // second copies for each first attempt, at most
@@ -116,7 +112,7 @@
       shunned_until_.resize(static_cast<std::size_t>(s_.gateways));
     }
     if (plans_ != s_.plans) throw std::invalid_argument("cranemux: shared quotas need equal plans");
-    fresh_.window = std::max(kWindowLeast, kWindowFirst / s_.gateways);
+    fresh_.window = windows_.first();
   }
 
   const std::shared_ptr<Books>& books() const { return books_; }
@@ -664,12 +660,7 @@
   int choose(const Job& job) {
     int best = -1;
     double best_cost = 0;
-    double windows = 0, open = 0;  // under pressure the windows hold back the sum, too
-    for (const auto& server : servers_) {
-      if (server.entry.state != ServerState::running || server.ejected_until > 0) continue;
-      windows += server.window;
-      open += server.open;
-    }
+    const auto [windows, open] = windows_.in_use(servers_);  // under pressure they hold back the sum, too
     idle_ = open < kIdle * windows;
     if (open > windows) return -1;
     for (std::size_t i = 0; i < servers_.size(); ++i) {
@@ -699,19 +690,23 @@
     const auto aim = static_cast<double>(job.klass->aim);
     const auto took = static_cast<double>(outcome.took);
     const bool unanswered = outcome.result == Result::timeout || outcome.result == Result::cancelled;
-    if (outcome.result == Result::ok || (unanswered && took > kTimeoutMin * aim))
-      times_.learn(server, took / aim);
+    const bool timed = outcome.result == Result::ok || (unanswered && took > kTimeoutMin * aim);
+    if (timed) times_.learn(server, took / aim);
     if (outcome.result == Result::ok) {
       served_recently_ += 1;
       server.last_ok_sent = std::max(server.last_ok_sent, attempt.sent);
       server.strikes = 0;
       server.ejected_until = server.ejected_for = 0;
-      if (took < kGood * aim) resize(server, 1);
     }
     const bool late = took > kBad * aim && (outcome.result == Result::ok || (unanswered && !attempt.cut));
-    const bool its_own = fresh_.window < 1 && times_.slow(server);
-    if ((outcome.result == Result::full || (late && !its_own)) && now_ - server.cut_at >= kCutEvery)
-      resize(server, -1);
+    if (windows_.together()) {
+      if (timed && !times_.slow(server)) windows_.scale(servers_, load_.change(took / aim));
+    } else if (outcome.result == Result::ok && took < kGood * aim) {
+      windows_.open(server);
+    } else if ((outcome.result == Result::full || late) && now_ - server.cut_at >= kCutEvery) {
+      windows_.close(server);
+      server.cut_at = now_;
+    }
     if (outcome.result == Result::reset || outcome.result == Result::connect_failed ||
         (unanswered && suspect(attempt) && took > kTimeoutMin * aim)) {
       if (++server.strikes < kStrikes && server.ejected_until == 0) return;
@@ -721,20 +716,6 @@
     }
   }
 
-  // Windows open by a step and close by a factor. In a fleet so large that its first window is under one
-  // attempt, own answers of one server are too few to learn from: they count for all of them.
-  void resize(Server& server, int way) {
-    const double least = kWindowMin * std::min(1.0, kWindowFirst / 2 / s_.gateways);
-    for (auto& other : servers_) {
-      if (fresh_.window >= 1 && &other != &server) continue;
-      const double step =
-          fresh_.window >= 1 ? kWindowStep / std::max(1.0, other.window) : kWindowGrow * other.window;
-      other.window =
-          way > 0 ? std::min(kWindowMax, other.window + step) : std::max(least, other.window * kWindowCut);
-      if (way < 0) other.cut_at = now_;
-    }
-  }
-
   // Slow start: a cold server gets its part of what each warm one answers (what it is sent may be more than
   // any can do, id9b425). A turn not used for a second is gone, or a fleet would save and spend them at once.
   void refill_cold(Nanos passed) {
@@ -1011,6 +992,8 @@
   bool freed_ = false;    // credits have come since the last look at held requests
   Nanos next_guard_ = 0, next_split_ = 0, next_tick_ = 0, last_tick_ = 0, refilled_ = 0;
   pool::AnswerTimes times_{kFirstLatency};
+  pool::Load load_;
+  const pool::Windows windows_{s_.gateways};
   double served_recently_ = 0, hedge_tokens_ = 0;
   Server fresh_;
   std::vector<Server> servers_;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cmath>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 
@@ -523,6 +524,48 @@
 
 // Where new connections have a price, a gateway of many stays with the servers that it knows; without, it
 // tries others.
+// Of exponential answers that take half of their aim on average two in five are past 0.4 of it. Each of these
+// closed the windows of all by a fifth, so that those of 100 gatekeepers drifted to one attempt in minutes,
+// with nodes that had nothing to do.
+TEST(Choice, AFleetsWindowsStayOpenWhereAnswersTakeWhatTheyAlwaysTake) {
+  auto s = base_settings();
+  s.gateways = 100;
+  s.plans[0] = {"rate", 1000, 2000, 0, 0, 0, 0, 1, 0, 1};
+  std::vector<ServerEntry> servers;
+  for (int i = 0; i < 60; ++i) servers.push_back(server("s" + std::to_string(i)));
+  Door door(s, servers);
+  std::mt19937_64 random(3);
+  std::exponential_distribution<double> time(1 / 0.5);
+  std::multimap<Nanos, std::pair<std::string, Nanos>> out;  // by when they are answered
+  const auto aim = static_cast<double>(s.classes[0].aim);
+  int id = 0, late = 0;
+  std::set<std::string> begun;
+  for (const auto end = door.now + 600 * kSecond; door.now < end;) {
+    const auto name = "r" + std::to_string(id++);
+    auto request = door.request(name, "rate");
+    request.spread = 1;
+    request.budget = 5 * kSecond;
+    door.feed({request});
+    for (const auto next = door.now + 700 * kMs; door.now < next;) {
+      for (; door.done < door.sends.size(); ++door.done) {
+        const auto& send = door.sends[door.done];
+        const auto took = std::min(static_cast<Nanos>(time(random) * aim), send.patience);
+        out.insert({door.now + took, {send.request, took}});
+        begun.insert(send.request);
+      }
+      const bool answers = !out.empty() && out.begin()->first <= next;
+      door.run(answers ? out.begin()->first : next);
+      if (!answers) continue;
+      const auto [request_id, took] = out.begin()->second;
+      out.erase(out.begin());
+      late += took > 0.4 * aim;
+      door.feed({door.outcome(request_id, Result::ok, 0, took)});
+    }
+  }
+  EXPECT_GT(late, id / 3);
+  EXPECT_LE(id - static_cast<int>(begun.size()), id / 50);  // refused though nodes were idle
+}
+
 TEST(Choice, APriceOfConnectionsKeepsToServersInUse) {
   std::map<double, std::size_t> used;
   for (const double price : {0.0, 0.08}) {
