--- a/bench/fleet_size.cpp
+++ b/bench/fleet_size.cpp
@@ -70,6 +70,7 @@
     char text[20];
     std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(i % 1000));
     ask.customer = text;
+    ask.spread = peers;
     return ask;
   });
   client.finish();
--- a/testing/client.cpp
+++ b/testing/client.cpp
@@ -75,7 +75,9 @@
                     "\r\nReq-Id: " + id + "\r\nReq-Kind: " + ask.klass + "\r\nX-Tier: " + ask.plan +
                     "\r\nCookie: client=" + ask.customer +
                     "\r\nReq-Deadline-Ms: " + std::to_string(ask.deadline.count()) +
-                    "\r\nX-Call-Terms: units=" + std::to_string(std::llround(ask.units)) + "\r\n" + ask.extra;
+                    "\r\nX-Call-Terms: units=" + std::to_string(std::llround(ask.units)) +
+                    (ask.spread > 1 ? ",spread=" + std::to_string(ask.spread) + ",first=0" : std::string()) +
+                    "\r\n" + ask.extra;
   if (!ask.safe) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   out += "\r\n" + body;
   // A close of an idle channel may cross the request: then it goes once more, on a new one.
--- a/testing/client.h
+++ b/testing/client.h
@@ -26,6 +26,7 @@
               customer = "0000000000000001";
   bool safe = true;
   double units = 1;
+  int spread = 1;  // gatekeepers of its set, from the first on
   milliseconds deadline{2000};
   std::string extra = {};  // further header lines, each with its end
   std::string body = {};   // of an unsafe request; some text where it is empty
--- a/tests/resolver_test.cpp
+++ b/tests/resolver_test.cpp
@@ -176,6 +176,16 @@
   EXPECT_EQ(watched.list.usable(), 2U);
 }
 
+// A machine that has vanished leaves its connection open: a watch without the empty lines is left.
+TEST(Resolver, AStalledWatchIsLeft) {
+  Watched watched;
+  watched.discovery.raw(kHead + "5\r\n{\"ind", Discovery::Then::stall);
+  watched.discovery.answer(list_line(60, true, {"a", "b"}), Discovery::Then::stay);
+  watched.start();
+  ASSERT_TRUE(watched.stage.play_until([&] { return watched.list.usable() == 2; }));
+  EXPECT_EQ(watched.discovery.calls.size(), 2U);
+}
+
 TEST(Resolver, NobodyThereCostsNothingButCalls) {
   Watched watched;
   watched.resolver.move({"127.0.0.1", 1});
