--- a/bench/fleet_size.cpp
+++ b/bench/fleet_size.cpp
@@ -1,8 +1,6 @@
 // One gatekeeper of a large fleet: its memory, idle and after many customers, and its processor time idle and
 // by RPC, with so many peers and nodes. The peers are never there; their mail goes to a port where nobody
 // listens. Usage: fleet_size PROGRAM [PEERS NODES]
-#include <unistd.h>
-
 #include <cstdio>
 #include <cstdlib>
 
@@ -22,15 +20,6 @@
 
 std::string here(int port) { return "\"127.0.0.1:" + std::to_string(port) + '"'; }
 
-double cpu_s(pid_t pid) {
-  std::FILE* in = std::fopen(("/proc/" + std::to_string(pid) + "/stat").c_str(), "r");
-  unsigned long user = 0, system = 0;
-  const int got =
-      in ? std::fscanf(in, "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system) : 0;
-  if (in) std::fclose(in);
-  return got == 2 ? static_cast<double>(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)) : 0;
-}
-
 void measure(const std::string& binary, int peers, int nodes) {
   Stage stage;
   Folder folder;
@@ -59,12 +48,12 @@
   }
   stage.play(milliseconds(1000));
   const auto idle_kb = program.resident_kb();
-  const auto begin = cpu_s(program.pid());
+  const auto begin = program.cpu_s();
   stage.play(milliseconds(5000));
-  const auto idle_s = (cpu_s(program.pid()) - begin) / 5;
+  const auto idle_s = (program.cpu_s() - begin) / 5;
   Client client(stage, port);
   constexpr int kRpcs = 4000;
-  const auto before = cpu_s(program.pid());
+  const auto before = program.cpu_s();
   client.pace(400, milliseconds(1000 * kRpcs / 400), [&](std::size_t i) {
     Ask ask;
     char text[20];
@@ -78,7 +67,7 @@
       "%3d peers, %3d nodes: idle %.1f MB and %.4f of a core; %d RPCs of 1,000 customers, %zu served: "
       "%.0f us of processor each, then %.1f MB\n",
       peers, nodes, static_cast<double>(idle_kb) / 1024, idle_s, kRpcs, client.count(200),
-      (cpu_s(program.pid()) - before) * 1e6 / kRpcs, static_cast<double>(program.resident_kb()) / 1024);
+      (program.cpu_s() - before) * 1e6 / kRpcs, static_cast<double>(program.resident_kb()) / 1024);
 }
 
 }  // namespace
--- a/bench/many_pools.cpp
+++ b/bench/many_pools.cpp
@@ -1,7 +1,5 @@
 // Many pools and routes in one program: its memory, the time of a reload, and what an RPC takes. Usage:
 // many_pools PROGRAM [POOLS] [ROUTES] [RPCS]
-#include <unistd.h>
-
 #include <cstdio>
 #include <cstdlib>
 
@@ -11,15 +9,6 @@
 
 using namespace cranemux::testing;
 
-double cpu_s(pid_t pid) {
-  std::FILE* in = std::fopen(("/proc/" + std::to_string(pid) + "/stat").c_str(), "r");
-  unsigned long user = 0, system = 0;
-  const int got =
-      in ? std::fscanf(in, "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system) : 0;
-  if (in) std::fclose(in);
-  return got == 2 ? static_cast<double>(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)) : 0;
-}
-
 void arrange(Rig& rig, int pools, int routes) {
   rig.file.pools.clear();
   rig.file.routes.clear();
@@ -33,7 +22,7 @@
 
 void measure(Rig& rig, int rpcs, int routes) {
   Client client(rig.stage, rig.port);
-  const auto before = cpu_s(rig.program->pid());
+  const auto before = rig.program->cpu_s();
   client.pace(1000, milliseconds(rpcs), [&](std::size_t i) {
     Ask ask;
     ask.host = "s" + std::to_string(i * 7919 % static_cast<std::size_t>(routes)) + ".example.org";
@@ -45,7 +34,7 @@
   });
   client.finish();
   std::printf("rpcs %d served %zu, cpu us an rpc %.0f, p50 %.2f ms p99 %.2f ms, memory %ld KiB\n", rpcs,
-              client.count(200), (cpu_s(rig.program->pid()) - before) * 1e6 / rpcs,
+              client.count(200), (rig.program->cpu_s() - before) * 1e6 / rpcs,
               percentile_ms(client.results(), 0.5), percentile_ms(client.results(), 0.99),
               rig.program->resident_kb());
 }
--- a/testing/program.cpp
+++ b/testing/program.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -115,6 +116,15 @@
   return 0;
 }
 
+double Program::cpu_s() const {
+  std::FILE* in = std::fopen(("/proc/" + std::to_string(pid_) + "/stat").c_str(), "r");
+  unsigned long user = 0, system = 0;
+  const int got =
+      in ? std::fscanf(in, "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system) : 0;
+  if (in) std::fclose(in);
+  return got == 2 ? static_cast<double>(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)) : 0;
+}
+
 int run(const std::string& binary, const std::vector<std::string>& arguments, std::string& output) {
   const Folder folder;
   Program program(binary, arguments, {}, folder.path("out"));
--- a/testing/program.h
+++ b/testing/program.h
@@ -39,6 +39,7 @@
   bool alive();
   int wait();  // its exit code; -1 if a signal ended it
   long resident_kb() const;
+  double cpu_s() const;  // of processor so far
   pid_t pid() const { return pid_; }
 
  private:
