Borrow only the gateway's own next share of what a keeper has told

A request whose keeper is late borrowed as long as the whole of D, by the last word of it, lasted (may_borrow), so each of hundreds of gatekeepers lent itself the same D; and a new life took D for full (open_account) with nobody's word.

Change: what may be borrowed until the next word is the own next share, D over the customer's gateways, rounded up to a whole request where a draw is low, as DESIGN's credits are. A new life has no word and borrows nothing.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -239,12 +239,17 @@
     }
     return a.plan->open_limit > 0 && a.open < a.limit;
   }
-  // Short of time, a request whose question is not answered yet borrows while D, by the last word of it,
-  // lasts. What has filled since does not count: each gateway of a set would lend the same units to itself,
-  // again and again.
+  // Short of time, a request whose question is not answered yet borrows from its gateway's next share.
   bool may_borrow(const Account& a, double units) const {
     if (guarded(a) || a.asked <= a.answered) return false;  // its keeper has none left
-    return a.plan->rate > 0 ? a.sure >= units : a.open * a.spread < a.plan->open_limit;
+    return a.plan->rate > 0 ? std::min(a.lend, a.sure) >= units : a.open * a.spread < a.plan->open_limit;
+  }
+  // The next share of D, split evenly and rounded up to whole requests where the draw is low. Only what a
+  // keeper has told counts, once: what filled since, and what a new life takes for D, each gateway of a set
+  // would lend itself, again and again.
+  double next_share(const Account& a) {
+    const double share = std::max(0.0, a.sure / a.spread);
+    return share < s_.most_units && drawn() < share / s_.most_units ? s_.most_units : share;
   }
 
   void spend(Account& a, double units) {
@@ -256,7 +261,9 @@
     a.left -= units;
     a.level = std::max(debt_of(*a.plan), a.level - units);
     a.sure = std::max(debt_of(*a.plan), a.sure - units);
-    if (a.total > a.limit) note(a);  // it was not granted: the keeper must hear of it
+    if (a.total <= a.limit) return;
+    a.lend -= units;
+    note(a);  // it was not granted: the keeper must hear of it
   }
 
   // ---- held requests ----------------------------------------------------------------------------
@@ -586,6 +593,7 @@
     if (a.plan->rate > 0 && a.total > limit) note(a);  // spent while it was given back
     a.answered = std::max(now_, a.asked);
     a.level = a.sure = level_of(*a.plan, level);
+    a.lend = next_share(a);
     a.left = std::min(a.plan->burst, a.level + static_cast<double>(limit - a.total));
     freed_ = true;
   }
@@ -606,7 +614,7 @@
         const int open = server.open;
         server = fresh_;
         server.open = open;
-        server.cold_tokens = phase();
+        server.cold_tokens = drawn();
       }
       server.entry = entry;
       server.listed = now_;
@@ -626,8 +634,9 @@
     return static_cast<int>(old - servers_.begin());
   }
 
-  // Where each gateway stands between two attempts at a cold server: all together they then send evenly.
-  double phase() { return static_cast<double>(random_() & 1023U) / 1024; }
+  // From 0 on, under 1. For a cold server it is where each gateway stands between two attempts: all together
+  // they then send evenly.
+  double drawn() { return static_cast<double>(random_() & 1023U) / 1024; }
 
   // A started server can do a part of its work that grows to the whole; the least it can be.
   double warmth(const Server& server) const {
@@ -669,7 +678,7 @@
       double cost = times_.of(server) * (server.open + 1) * (warmth(server) < 1 ? kColdTurn : 1);
       if (now_ - server.last_ok_sent > s_.connection_idle) cost *= 1 + kOpening * s_.connection_price;
       if (server.entry.zone != s_.zone) cost *= kOtherZone;
-      cost *= 1 + 0.05 * static_cast<double>(random_() & 1023U) / 1024;
+      cost *= 1 + 0.05 * drawn();
       for (const auto& attempt : job.attempts) {
         if (attempt.server == static_cast<int>(i)) cost *= 100;
       }
@@ -729,7 +738,7 @@
       pool::AnswerTimes::fade(server, std::chrono::nanoseconds(passed));
       const double rate = per_unit * warmth(server) + kColdFloor / s_.gateways;
       server.cold_tokens += rate * static_cast<double>(passed) / kSecond;
-      if (server.cold_tokens > 1 + rate) server.cold_tokens = rate < 1 ? phase() * rate : 1 + rate / 4;
+      if (server.cold_tokens > 1 + rate) server.cold_tokens = rate < 1 ? drawn() * rate : 1 + rate / 4;
     }
   }
 
--- a/src/handover/module_state.cpp
+++ b/src/handover/module_state.cpp
@@ -13,7 +13,7 @@
               fits(s.served_recently) && fits(s.hedge_tokens) && s.life <= 0xffff &&
               s.plans.size() == s.accounts.size();
   for (const auto& [hash, a] : s.accounts) {
-    good = good && s.plans.contains(hash) && fits(a.level) && fits(a.sure) && fits(a.left) &&
+    good = good && s.plans.contains(hash) && fits(a.level) && fits(a.sure) && fits(a.lend) && fits(a.left) &&
            fits(a.ceiling) && a.filled <= now && a.hash == hash && a.spread >= 1 &&
            a.spread <= settings.gateways && a.first >= 0 && a.first < settings.gateways;
   }
--- a/src/handover/module_state.h
+++ b/src/handover/module_state.h
@@ -31,8 +31,8 @@
 
 template <typename Io>
 void fields(Io& io, Account& a) {
-  io(a.hash, a.first, a.spread, a.level, a.sure, a.left, a.ceiling, a.filled, a.total, a.limit, a.asked,
-     a.answered, a.misses, a.news);
+  io(a.hash, a.first, a.spread, a.level, a.sure, a.lend, a.left, a.ceiling, a.filled, a.total, a.limit,
+     a.asked, a.answered, a.misses, a.news);
 }
 template <typename Io>
 void fields(Io& io, Claim& c) {
--- a/src/ledger/account.h
+++ b/src/ledger/account.h
@@ -13,7 +13,8 @@
   std::uint32_t hash = 0;
   int first = 0, spread = 1;  // its set
   double level = 0;           // D: units left, as last told, filled and less own use
-  double sure = 0;            // D by the last word of it, less own use since: what may be borrowed
+  double sure = 0;            // D by the last word of it, less own use since
+  double lend = 0;            // what may be borrowed of the own next share until there is word again
   double left = 0;            // D as told, with what is granted here: for those who ask what they may yet use
   double ceiling = 0;         // own part of the hard ceiling
   Nanos filled = 0;
