--- a/src/ledger/bound.cpp
+++ b/src/ledger/bound.cpp
@@ -48,12 +48,10 @@
   out.terms.push_back(
       {"shares rounded up to whole requests", "n × the largest request", n * plan.most_units});
   if (n == 1) return out;
-  const auto answer = Time(std::chrono::milliseconds(60));
-  const double asks = 1 / std::max(1e-3, (1 - tier.loss) * (1 - tier.loss));
   out.terms.push_back(
       {"even shares while a keeper is asked", "burst, once for a set new to the customer", plan.burst});
-  out.terms.push_back({"borrowed while an answer is due", "rate × 60 ms × tries by loss",
-                       units_in(plan.rate, answer) * asks});
+  out.terms.push_back(
+      {"borrowed while an answer is due", "burst: each its next share, once a word", plan.burst});
   out.terms.push_back({"stale grants", "rate × 0.5 s", units_in(plan.rate, std::chrono::milliseconds(500))});
   if (tier.restarts_per_minute > 0)
     out.terms.push_back({"a keeper that has forgotten",
