--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -67,6 +67,7 @@
 constexpr Nanos kYoung = kSecond;    // a ledger takes told levels, and told attempts out stand, for this long
 constexpr int kKeepers = 3;          // a customer's keeper and those that stand in for it
 constexpr Nanos kAskPatience = 60 * kMs;  // about two message times and two ticks: then ask again
+constexpr double kHolding = 0.25;         // of a set: gateways that hold requests of a customer at once
 constexpr int kAskDoublings = 6;          // each next question waits twice as long, so often
 constexpr int kAskTries = 4;              // by then loss is unlikely: the keeper is passed over ...
 constexpr Nanos kShun = 2 * kSecond;      // ... for this long, or until it is heard
@@ -251,11 +252,11 @@
     if (guarded(a) || a.asked <= a.answered) return false;  // its keeper has none left
     return a.plan->rate > 0 ? std::min(a.lend, a.sure) >= units : a.open * a.spread < a.plan->open_limit;
   }
-  // The next share of D, split evenly and rounded up to whole requests where the draw is low. Only what a
-  // keeper has told counts, once: what filled since, and what a new life takes for D, each gateway of a set
-  // would lend itself, again and again.
+  // The next share of D, split among those that most likely hold requests too, rounded up to whole requests
+  // where the draw is low. Only what a keeper has told counts, once: what filled since, and what a new life
+  // takes for D, each gateway of a set would lend itself, again and again.
   double next_share(const Account& a) {
-    const double share = std::max(0.0, a.sure / a.spread);
+    const double share = std::max(0.0, a.sure / std::max(1.0, a.spread * kHolding));
     return share < s_.most_units && drawn() < share / s_.most_units ? s_.most_units : share;
   }
 
@@ -530,8 +531,10 @@
     if (ledger.plan != entry.plan || ledger.parts != entry.figures[6]) return;
     ledgers().fill(ledger, time());
     ledger.heard = time();
-    if (from != s_.index && ask.wanted > 0)
-      ledger.pacing.asked(ledger.rate, kMailShare * s_.peer_messages_per_s, time());
+    if (from != s_.index && ask.wanted > 0) {
+      const double most = kMailShare * s_.peer_messages_per_s;
+      ledger.pacing.asked({ledger.rate, most, s_.gateways, ledger.claims.size() + 1}, time());
+    }
     // A keeper that has just started or stands in may know no R: the least told level counts.
     if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
       ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
--- a/src/ledger/bound.cpp
+++ b/src/ledger/bound.cpp
@@ -50,8 +50,9 @@
   if (n == 1) return out;
   out.terms.push_back(
       {"even shares while a keeper is asked", "burst, once for a set new to the customer", plan.burst});
-  out.terms.push_back(
-      {"borrowed while an answer is due", "burst: each its next share, once a word", plan.burst});
+  out.terms.push_back({"borrowed while an answer is due",
+                       "4 × burst, or n × burst if that is less: each its next share, once a word",
+                       plan.burst * std::min(4, n)});
   out.terms.push_back({"stale grants", "rate × 0.5 s", units_in(plan.rate, std::chrono::milliseconds(500))});
   if (tier.restarts_per_minute > 0)
     out.terms.push_back({"a keeper that has forgotten",
--- a/src/ledger/pacing.h
+++ b/src/ledger/pacing.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 
 #include "ledger/rights.h"
 
@@ -15,11 +16,22 @@
 
 class AskPacing {
  public:
-  // An ask has come. `rate`: of the ledger, units a second; `most_asks`: that it may cost a second.
-  void asked(double rate, double most_asks, Time now) {
-    const double wanted = std::clamp(kAsksOfUnit * rate, kLeastAsks, std::max(kLeastAsks, most_asks));
+  struct Terms {
+    double rate = 0;       // of the ledger, units a second
+    double most_asks = 1;  // a second, that one gatekeeper can hear
+    int gatekeepers = 1;   // of the tier
+    std::size_t askers = 1;
+  };
+  // An ask has come.
+  void asked(const Terms& terms, Time now) {
+    // Few gatekeepers have messages to spare for every customer, and cannot ask too often if each waits its
+    // turn.
+    const double spare = terms.most_asks * std::min(1.0, kFew / std::max(1, terms.gatekeepers - 1));
+    const double least = std::max(kLeastAsks, spare);
+    const double wanted = std::clamp(kAsksOfUnit * terms.rate, least, std::max(least, terms.most_asks));
     const double passed = static_cast<double>((now - at_).count()) / 1e9;
-    pause_ = std::clamp(pause_ + kGain * (1 / wanted - passed), 0.0, kMost);
+    const double most = std::min(kMost, 2 * static_cast<double>(terms.askers) / wanted);
+    pause_ = std::clamp(pause_ + kGain * (1 / wanted - passed), 0.0, most);
     at_ = now;
   }
   // For how long who is told "none left" asks no more.
@@ -28,6 +40,7 @@
  private:
   static constexpr double kAsksOfUnit = 1.5;  // for each unit that fills: some come in vain
   static constexpr double kLeastAsks = 2;     // a second
+  static constexpr double kFew = 4;           // gatekeepers that ask
   static constexpr double kGain = 0.3;        // seconds of pause for each second of asks too much or too few
   static constexpr double kMost = 6;          // seconds
   double pause_ = 0;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -284,11 +284,11 @@
   s.plans[0].burst = 40;
   s.settles = true;  // so that debts may be as large as the store
   std::vector<Door> doors;
-  for (s.index = 0; s.index < 6; ++s.index) doors.emplace_back(s);
+  for (s.index = 0; s.index < 20; ++s.index) doors.emplace_back(s);
   auto& door = doors[0];
   auto first = door.request("first", "rate");
   first.first = 1;
-  first.spread = 4;
+  first.spread = 16;
   door.feed({first});
   door.run(door.now + 20 * kMs);
   ASSERT_EQ(door.told.size(), 1U);
@@ -300,8 +300,8 @@
   door.feed({PeerMessage{door.told[0].to, keeper.told[0].bytes}});
   ASSERT_EQ(door.sends.size(), 1U);
   door.run(door.now + kSecond);  // the word is no credit any more
-  offer_while_the_keeper_is_silent(door, 4);
-  EXPECT_GE(door.sends.size(), 1U + 9U);  // a fourth of the 39 that were left
+  offer_while_the_keeper_is_silent(door, 16);
+  EXPECT_GE(door.sends.size(), 1U + 9U);  // of the 39 that were left, shared with four
   EXPECT_LE(door.sends.size(), 1U + 10U);
 }
 
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -50,17 +50,28 @@
 }
 
 TEST(pacing, follows_how_often_it_is_asked_and_forgets) {
+  const AskPacing::Terms terms{2, 24, 300, 200};
   AskPacing pacing;
   Time now = 100s;
-  for (int i = 0; i < 100; ++i) pacing.asked(2, 24, now += 500ms);  // what two units a second can serve
+  for (int i = 0; i < 100; ++i) pacing.asked(terms, now += 500ms);  // what two units a second can serve
   EXPECT_LT(pacing.pause(), 50ms);
-  for (int i = 0; i < 200; ++i) pacing.asked(2, 24, now += 20ms);  // 50 a second
+  for (int i = 0; i < 200; ++i) pacing.asked(terms, now += 20ms);  // 50 a second
   EXPECT_GT(pacing.pause(), 2s);
   EXPECT_LE(pacing.pause(), 6s);
-  pacing.asked(2, 24, now += 25s);  // the burst is over
+  pacing.asked(terms, now += 25s);  // the burst is over
   EXPECT_LT(pacing.pause(), 200ms);
 }
 
+// Three gatekeepers cannot drown a keeper if each waits a moment: waits of seconds there cost a small site
+// units (days of two to four gatekeepers, 0.02).
+TEST(pacing, is_short_where_few_ask) {
+  AskPacing pacing;
+  Time now = 100s;
+  for (int i = 0; i < 1000; ++i) pacing.asked({2, 24, 4, 3}, now += 5ms);
+  EXPECT_LE(pacing.pause(), 250ms);
+  EXPECT_GE(pacing.pause(), 100ms);
+}
+
 Ledger ledger_of(double level) {
   Ledger out{1, 0, 10, 40, -4};
   out.level = level;
