Drop the mail's own word of when it heard, and keep levels of plans without a rate whole

Found on rereading. Isolation says who is cut off now, so Mail::heard had no caller. A plan without a rate has a store of nothing: where its gatekeeper was alone, 0 by 0 made its unused level no number, and the hand-over's check then started the next process fresh.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -64,7 +64,7 @@
 constexpr double kColdTurn = 0.01;   // a turn at a cold server goes before any other: it is gone if not used
 constexpr double kMailPeers = 4;     // and more where its mail goes to more peers than these
 constexpr double kMailBurst = 5;     // messages that may go at once after a quiet spell
-constexpr Nanos kYoung = kSecond;    // a ledger takes told levels, and told attempts out stand, for this long
+constexpr Nanos kYoung = kSecond;    // a ledger takes told levels for this long
 constexpr int kKeepers = 3;          // a customer's keeper and those that stand in for it
 constexpr Nanos kAskPatience = 60 * kMs;  // about two message times and two ticks: then ask again
 constexpr double kHolding = 0.25;         // of a set: gateways that hold requests of a customer at once
@@ -223,7 +223,8 @@
     const double most = std::max(a.plan->burst * part, std::min(s_.most_units, a.plan->burst));
     // From here on its even share is all that it has: a request's worth of what was left by the last word,
     // and somewhere between two requests, so that all together spend at the plan's rate.
-    if (alone() && !a.alone) a.level = std::min(a.sure / a.plan->burst * most + drawn(), most);
+    if (alone() && !a.alone && a.plan->burst > 0)
+      a.level = std::min(a.sure / a.plan->burst * most + drawn(), most);
     a.alone = alone();
     a.level = std::min(most, a.level + a.plan->rate * part * seconds);
     a.sure = std::min(a.sure, a.level);
--- a/src/ledger/mail.cpp
+++ b/src/ledger/mail.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 Mail::Mail(const MailTerms& terms, Time now)
-    : terms_(terms), peers_(static_cast<std::size_t>(terms.members)), posted_(now), heard_(now) {
+    : terms_(terms), peers_(static_cast<std::size_t>(terms.members)), posted_(now) {
   if (!terms_.guarded) return;
   rights_ = std::make_unique<Rights>(terms_.members, terms_.self, terms_.life,
                                      beats_of(terms_.members, terms_.messages_per_s), now);
@@ -94,7 +94,6 @@
     out.life |= rights_->epoch(from) << 16U;  // numbers may be drawn again
     members_->heard(from, now);
   }
-  heard_ = now;
   while (at < in.size()) {
     Entry entry;
     const auto first = static_cast<unsigned char>(in[at]);
--- a/src/ledger/mail.h
+++ b/src/ledger/mail.h
@@ -54,7 +54,6 @@
   // Lets go what the budget allows, the longest waiting first.
   void post(Time now, const std::function<void(int to, std::string bytes)>& send);
   bool waits() const { return !posts_.empty(); }
-  Time heard() const { return heard_; }  // the last good message of anyone; at first the start
 
   struct Letter {
     std::uint32_t life = 0;  // of its sender; guarded: with how often that one has begun, in the upper bits
@@ -85,7 +84,7 @@
   std::vector<Peer> peers_;
   std::deque<int> posts_;
   double stamps_ = 1;  // messages that may go now
-  Time posted_, heard_;
+  Time posted_;
   std::unique_ptr<Rights> rights_;
   std::unique_ptr<membership::Membership> members_;
 };
