Spend first where a customer's store is far from empty, and look only at what is due

And with it, a walk every 10 ms over all accounts that wait for an answer (tick()), by each module that holds quotas together with others: 118 hollow gatekeepers spent 30% of a core on it.

Change. ledger/standing.h: a keeper says with each answer whether its store is far from empty; while it is, gatekeepers spend first and report afterwards; a store under 40% is tight, and all who are known are told. Bounded by the own next share (two requests at least) where the keeper leaves a question unanswered. ledger/agenda.h: accounts in the order in which they are due. Ledgers are split once for all modules that share them. keepers (tier.keepers in a file of services, 0 on the platform): members set aside that keep all ledgers, so that what is asked travels in few full datagrams. pool/cold_start.h, ledger/budget.h, ledger/keeping.h: moved out of brain.cpp, as they were. Messages have a new version.

--- a/include/cranemux/brain.h
+++ b/include/cranemux/brain.h
@@ -75,6 +75,9 @@
   // Quotas hold whatever becomes of messages and gateways: nothing is used that no keeper with the right has
   // granted, or of a gateway's own part. At the cost of some refusals when one fails; at most 63 gateways.
   bool guarded = false;
+  // So many of the gateways, the last ones, keep the quotas of all others, take in what those send, and get
+  // no requests of their own; 0: all keep quotas beside their work. Not where quotas are guarded.
+  int keepers = 0;
   bool peers = false;
   bool probes = false;
   bool cancel = false;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -18,10 +18,13 @@
 #include "handover/module_state.h"
 #include "ledger/asks.h"
 #include "ledger/books.h"
+#include "ledger/budget.h"
+#include "ledger/keeping.h"
 #include "ledger/parts.h"
 #include "ledger/report.h"
 #include "ledger/split.h"
 #include "pool/answer_times.h"
+#include "pool/cold_start.h"
 #include "pool/load.h"
 #include "pool/repeats.h"
 #include "pool/tries.h"
@@ -43,9 +46,6 @@
 constexpr double kHoldTold = 0.2;              // and where the keeper has said that it has none
 constexpr double kRepeatAge = 0.3;             // of the aim: age of a marked repeat whose budget tells none
 constexpr Nanos kHoldBound = 500 * kMs;        // and never longer than two subperiods
-constexpr double kWeightScale = 100;           // T*V/K is this many times the largest request
-constexpr double kWeightSteps = 16;            // weights travel in steps of 1/16
-constexpr double kMailShare = 0.6;             // a gateway sends this share of the messages that one takes in
 constexpr double kOtherZone = 1.15;            // a server in another zone must be this much better
 constexpr double kFirstLatency = 0.15;         // of the aim: guess for the mean answer, before the first
 constexpr double kOpening = 40;         // reluctance to open a connection, for each try that it is worth
@@ -61,21 +61,18 @@
 constexpr double kTimeoutMin = 0.30, kTimeoutMax = 0.50;  // of the aim: when to try elsewhere
 constexpr double kHedgeShare = 0.08;                      // second copies for each first attempt, at most
 constexpr Nanos kRateWindow = 4 * kSecond;                // memory of the own rate of answers
-constexpr double kColdFloor = 0.25;  // attempts a second to a cold server, from the whole fleet, at least
-constexpr double kColdTurn = 0.01;   // a turn at a cold server goes before any other: it is gone if not used
-constexpr double kMailPeers = 4;     // and more where its mail goes to more peers than these
-constexpr double kMailBurst = 5;     // messages that may go at once after a quiet spell
-constexpr Nanos kYoung = kSecond;    // a ledger takes told levels for this long
-constexpr int kKeepers = 3;          // a customer's keeper and those that stand in for it
-constexpr Nanos kAskPatience = 60 * kMs;  // about two message times and two ticks: then ask again
-constexpr double kHolding = 0.25;         // of a set: gateways that hold requests of a customer at once
-constexpr int kAskDoublings = 6;          // each next question waits twice as long, so often
-constexpr int kAskTries = 4;              // by then loss is unlikely: the keeper is passed over ...
-constexpr Nanos kShun = 2 * kSecond;      // ... for this long, or until it is heard
-constexpr Nanos kForget = 60 * kSecond;   // what nobody has asked about for so long may be forgotten
-
-constexpr Nanos kUploadMost = 3600 * kSecond;         // a body on its way: its sender sees to its end
-constexpr std::uint64_t kSaneFigure = 1'000'000'000;  // a message that says more is damaged
+constexpr double kColdTurn = 0.01;  // a turn at a cold server goes before any other: it is gone if not used
+constexpr Nanos kYoung = kSecond;   // a ledger takes told levels for this long
+constexpr Nanos kAskPatience = 60 * kMs;    // about two message times and two ticks: then ask again
+constexpr double kHolding = 0.25;           // of a set: gateways that hold requests of a customer at once
+constexpr int kAskDoublings = 6;            // each next question waits twice as long, so often
+constexpr int kAskTries = 4;                // by then loss is unlikely: the keeper is passed over ...
+constexpr Nanos kShun = 2 * kSecond;        // ... for this long, or until it is heard
+constexpr Nanos kForget = 60 * kSecond;     // what nobody has asked about for so long may be forgotten ...
+constexpr Nanos kRemember = 300 * kSecond;  // ... or for so long, while it is not too many
+constexpr std::size_t kManyAccounts = 16384;
+
+constexpr Nanos kUploadMost = 3600 * kSecond;  // a body on its way: its sender sees to its end
 
 // ---- records ------------------------------------------------------------------------------------
 
@@ -175,9 +172,7 @@
 
   // ---- quota ledger and split -------------------------------------------------------------------
 
-  double weight_of(double units) const {
-    return std::max(0.0, std::log10(kWeightScale * s_.most_units / std::max(units, 1e-9)));
-  }
+  double weight_of(double units) const { return ledger::weight_of(units, s_.most_units); }
 
   // How far a store may go below nothing: settled differences may be as large as it is.
   double debt_of(const PlanSettings& plan) const {
@@ -192,9 +187,9 @@
     a.hash = ledger::hash_of(request.customer);
     a.first = std::clamp(request.first, 0, s_.gateways - 1);
     a.spread = std::clamp(request.spread, 1, s_.gateways);
-    if (!s_.guarded)
+    if (!s_.guarded && s_.keepers == 0)
       a.parts = ledger::parts_of(a.plan->rate, a.plan->burst, s_.most_units,
-                                 kMailShare * s_.peer_messages_per_s, a.spread);
+                                 ledger::kMailShare * s_.peer_messages_per_s, a.spread);
     a.part = s_.index % a.parts;
     a.filled = started_at_;
     if (s_.guarded) return;
@@ -237,13 +232,12 @@
         std::min(a.plan->ceiling_burst / a.spread, a.ceiling + a.plan->ceiling_rate / a.spread * seconds);
   }
 
-  // Where a plan bounds both, attempts out at once are bounded by even parts, one at least: no word of the
-  // others is in time for attempts that last as long as a message. The first of the set have what is left
-  // over.
+  // Where a plan bounds both, attempts out at once are bounded by even parts: no word of the others is in
+  // time for attempts that last as long as a message.
   bool has_place(const Account& a) const {
     if (a.plan->open_limit <= 0 || a.plan->rate <= 0) return true;
     const int place = std::min((s_.index - a.first + s_.gateways) % s_.gateways, a.spread - 1);
-    return a.open < std::max(1, (a.plan->open_limit + a.spread - 1 - place) / a.spread);
+    return a.open < ledger::even_part(a.plan->open_limit, place, a.spread);
   }
 
   // An even share of D, while word of it is fresh, is spent at once; else what a keeper has granted.
@@ -253,6 +247,7 @@
       return a.spender.covers(a.total, units, part(a.plan->rate), part(a.plan->burst), time());
     }
     if (alone()) return a.plan->rate > 0 ? a.level >= units : a.open * a.spread < a.plan->open_limit;
+    if (stands(a, units)) return true;
     if (now_ > a.answered + kCreditLife) return false;  // stale, as after a stall
     if (a.plan->rate > 0) {
       return static_cast<double>(a.total) + units <= static_cast<double>(a.limit) ||
@@ -260,6 +255,10 @@
     }
     return a.plan->open_limit > 0 && a.open < a.limit;
   }
+  bool stands(const Account& a, double units) const {
+    const bool heard = a.asked <= a.answered || (a.misses == 0 && now_ - a.asked <= kAskPatience);
+    return a.plan->rate > 0 && a.standing.covers(units, a.lend, a.level, a.plan->burst, heard, time());
+  }
   // Short of time, a request whose question is not answered yet borrows from its gateway's next share.
   bool may_borrow(const Account& a, double units) const {
     if (guarded(a) || a.asked <= a.answered || !has_place(a)) return false;  // its keeper has none left
@@ -288,8 +287,9 @@
       ++a.turn;
       return;
     }
-    a.lend -= units;
     note(a);  // it was not granted: the keeper must hear of it
+    a.lend -= units;
+    a.standing.spend(a.lend, time());
   }
 
   // ---- held requests ----------------------------------------------------------------------------
@@ -427,13 +427,8 @@
     shunned_until_[static_cast<std::size_t>(message.from)] = 0;
     for (const auto& entry : letter->entries) {
       const auto& v = entry.figures;
-      if (entry.plan >= plans_.size() || *std::max_element(v.begin(), v.begin() + 3) > kSaneFigure) return;
-      if (entry.kind == ledger::Kind::ask &&
-          (v[6] < 1 || *std::max_element(v.begin() + 5, v.end()) > kSaneFigure))
-        return;
-      if (entry.kind == ledger::Kind::ask) {
-        keep(message.from, entry, letter->life);
-      }
+      if (entry.plan >= plans_.size() || !ledger::sane(entry)) return;
+      if (entry.kind == ledger::Kind::ask) keep(message.from, entry, letter->life);
       if (entry.kind == ledger::Kind::hand) {
         ledgers().take_over(open_ledger(entry), message.from, rights().epoch(message.from), v[0], v[1],
                             time());
@@ -456,10 +451,8 @@
 
   int keeper_of(const Account& a) const {
     if (s_.guarded) return rights().keeper(a.hash);
-    for (int rank = 0; rank < std::min(kKeepers, a.spread); ++rank) {
-      const auto place =
-          (a.hash + static_cast<unsigned>(a.part * kKeepers + rank)) % static_cast<unsigned>(a.spread);
-      const int g = static_cast<int>((static_cast<unsigned>(a.first) + place) % shunned_until_.size());
+    for (int rank = 0; rank < std::min(ledger::kKeepers, s_.keepers > 0 ? s_.keepers : a.spread); ++rank) {
+      const int g = ledger::keeper_at(a.hash, a.part, rank, a.first, a.spread, s_.gateways, s_.keepers);
       if (now_ >= shunned_until_[static_cast<std::size_t>(g)]) return g;
     }
     return -1;
@@ -468,27 +461,31 @@
   void note(Account& a) {
     if (!a.plan) return;
     a.news = true;
-    busy_.insert(a.hash);
+    agenda_.by(a.hash, time());
   }
 
-  // Asks at once for what is newly held; again for what nobody answered, and each subperiod.
-  void seek(Account& a) {
+  // Asks at once for what is newly held; again for what nobody answered, and each subperiod. Returns when to
+  // look again.
+  Nanos seek(Account& a) {
     const bool waits = a.asked > a.answered;
+    const bool gathers = a.held == 0 && !waits && a.standing.open(time());
+    if (gathers && a.standing.due() > time()) return a.standing.due().count();
+    const bool report = gathers && !a.standing.wants_word(a.lend);
     int keeper = keeper_of(a);
     const bool none = a.sure < a.parts;  // its part had none left
     const auto spent = keeper != s_.index && none ? a.pause : 0;
     const auto fresh = a.held_units > a.asked_units ? spent : std::max(spent, kSubperiod);
-    if (now_ - a.asked < (!waits ? fresh
-                          : a.held > 0
-                              ? std::max(kAskPatience, spent / 2) << std::clamp(a.misses, 0, kAskDoublings)
-                              : kSecond << std::clamp(a.misses, 0, kAskDoublings)))
-      return;
+    const int doubled = std::clamp(a.misses, 0, kAskDoublings);
+    const Nanos wait = !waits       ? fresh
+                       : a.held > 0 ? std::max(kAskPatience, spent / 2) << doubled
+                                    : kSecond << doubled;
+    if (!report && now_ - a.asked < wait) return a.asked + wait;
     if (!waits) a.misses = 0;
     if (waits && ++a.misses >= kAskTries && keeper >= 0 && keeper != s_.index && !s_.guarded) {
       shunned_until_[static_cast<std::size_t>(keeper)] = now_ + kShun;  // or until it is heard
       keeper = keeper_of(a);
     }
-    if (a.held == 0 && !a.news && !waits) return;
+    if (a.held == 0 && !a.news && !waits) return now_;
     fill(a);
     if (none && !waits && a.parts > 1 && a.total >= a.limit) {  // another part may have some
       a.part = (a.part + 1) % a.parts;
@@ -496,11 +493,11 @@
     }
     if (keeper != std::exchange(a.keeper, keeper)) ++a.turn;
     a.news = a.plan->rate <= 0 && a.open > 0;  // attempts out are a lease: told of while it lasts
-    a.asked = now_;
+    if (!report) a.asked = now_;
     a.asked_units = a.held_units;
-    if (keeper < 0) return;
+    if (keeper < 0) return now_;
     const auto used = a.plan->rate > 0 ? a.total : a.open;
-    const auto weight = static_cast<std::uint64_t>(std::llround(a.held_weight * kWeightSteps));
+    const auto weight = static_cast<std::uint64_t>(std::llround(a.held_weight * ledger::kWeightSteps));
     const auto wanted = static_cast<std::uint64_t>(std::llround(a.plan->rate > 0 ? a.held_units : a.held));
     const auto level = ledger::told_level(a.plan->burst, a.level);
     const auto number =
@@ -512,10 +509,12 @@
                               a.hash,
                               {static_cast<std::uint64_t>(used), level, weight, wanted, number,
                                static_cast<std::uint64_t>(hold / kTick), static_cast<std::uint64_t>(a.parts),
-                               static_cast<std::uint64_t>(owed)}};
-    if (keeper != s_.index) books_->isolation->asked(keeper);
-    if (keeper != s_.index || alone()) return mail().write(keeper, entry);
-    keep(keeper, entry, life_);
+                               static_cast<std::uint64_t>(owed), report ? 1U : 0U}};
+    a.standing.reported();
+    if (report) a.limit = std::max(a.limit, a.total);
+    if (keeper != s_.index && !report) books_->isolation->asked(keeper);
+    keeper != s_.index || alone() ? mail().write(keeper, entry) : keep(keeper, entry, life_);
+    return now_;
   }
 
   Ledger& open_ledger(const ledger::Entry& entry) {
@@ -535,14 +534,14 @@
     ledgers().fill(ledger, time());
     ledger.heard = time();
     if (from != s_.index && ask.wanted > 0) {
-      const double most = kMailShare * s_.peer_messages_per_s;
+      const double most = ledger::kMailShare * s_.peer_messages_per_s;
       ledger.pacing.asked({ledger.rate, most, s_.gateways, ledger.claims.size() + 1}, time());
     }
     // A keeper that has just started or stands in may know no R: the least told level counts.
     if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
       ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
     }
-    if (ledger.merge(from, ask, time())) share_out(ledger, from);
+    if (ledger.merge(from, ask, time())) share_out(ledger, ask.report ? -1 : from, from);
   }
 
   // Without the right to keep: the asking gateway may turn to its part.
@@ -554,8 +553,8 @@
         {ledger::Kind::grant, entry.plan, entry.customer, {ask.life & 0xffffU, used, 0, ask.number, 0, 0}});
   }
 
-  // `asker` is answered anyway.
-  void share_out(Ledger& ledger, int asker) {
+  // `asker` is answered anyway; whoever has only reported, `told`, if it should not go on so.
+  void share_out(Ledger& ledger, int asker, int told = -1) {
     ledgers().fill(ledger, time());
     if (!ledgers().holds(ledger.customer, time())) return;
     const auto& plan = plans_[ledger.plan];
@@ -564,28 +563,37 @@
       if (gateway != asker) grant(ledger, gateway);
     }
     if (asker >= 0) grant(ledger, asker);
+    if (s_.guarded || plan.rate <= 0) return;
+    const bool all = ledger.slack.look(ledger.level, ledger.burst, time());
+    for (const auto& [gateway, claim] : ledger.claims) {
+      if (gateway != asker && (all || (gateway == told && ledger.slack.tight(time()))))
+        grant(ledger, gateway);
+    }
   }
 
   void grant(const Ledger& ledger, int to) {
     const auto& claim = ledger.claims.at(to);
     const auto level = ledger::told_level(ledger.burst, ledger.level);
     const auto number = s_.guarded ? claim.number : claim.turn;
+    const bool open = s_.guarded || (ledger.rate > 0 && !ledger.slack.tight(time()));
     if (to == s_.index)
-      return granted(accounts_[ledger.customer], claim.limit, level, number, ledger::Time(0), true);
-    mail().write(to, {ledger::Kind::grant,
-                      ledger.plan,
-                      ledger.customer,
-                      {claim.life & 0xffffU, static_cast<std::uint64_t>(claim.limit), level, number,
-                       static_cast<std::uint64_t>(ledger.pacing.pause() / ledger::kPauseStep), 1}});
+      return granted(accounts_[ledger.customer], claim.limit, level, number, ledger::Time(0), open);
+    mail().write(to,
+                 {ledger::Kind::grant,
+                  ledger.plan,
+                  ledger.customer,
+                  {claim.life & 0xffffU, static_cast<std::uint64_t>(claim.limit), level, number,
+                   static_cast<std::uint64_t>(ledger.pacing.pause() / ledger::kPauseStep), open ? 1U : 0U}});
   }
 
+  // `open`: the keeper has the right, where quotas are guarded; else, its store is far from empty.
   void granted(Account& a, std::int64_t limit, std::uint64_t level, std::uint32_t number, ledger::Time pause,
-               bool kept) {
+               bool open) {
     if (!a.plan) return;
     fill(a);
     if (guarded(a)) {
-      if (!kept) a.spender.refused(number, time());
-      if (!kept) return a.spender.turn(rights(), a.hash, s_.index, time());
+      if (!open) a.spender.refused(number, time());
+      if (!open) return a.spender.turn(rights(), a.hash, s_.index, time());
       if (!a.spender.credit.granted(number, limit, time())) return;
       a.spender.unkept_until = ledger::Time(-1);
       limit = a.spender.credit.limit();
@@ -597,9 +605,11 @@
     a.answered = std::max(now_, a.asked);
     a.pause = pause.count();
     a.level = a.sure = ledger::level_told(a.plan->burst, level);
-    a.lend = next_share(a);
+    a.lend = std::max(next_share(a), open && !s_.guarded ? 2 * s_.most_units : 0);
+    a.standing.told(open && !s_.guarded, a.lend, time());
     a.left = std::min(a.plan->burst, a.level + static_cast<double>(limit - a.total));
     freed_ = true;
+    if (a.held > 0) agenda_.by(a.hash, time());
   }
 
   // ---- server choice and health -----------------------------------------------------------------
@@ -642,13 +652,7 @@
   // they then send evenly.
   double drawn() { return static_cast<double>(random_() & 1023U) / 1024; }
 
-  // A started server can do a part of its work that grows to the whole; the least it can be.
-  double warmth(const Server& server) const {
-    if (server.entry.started == 0 || s_.warm_up <= 0) return 1;
-    const auto age = static_cast<double>(now_ - server.entry.started);
-    return std::clamp(s_.cold_from + (1 - s_.cold_from) * age / static_cast<double>(s_.warm_up), s_.cold_from,
-                      1.0);
-  }
+  double warmth(const Server& server) const { return cold_start_.warmth(server, now_); }
 
   bool allowed(const Server& server) const {
     if (server.entry.state != ServerState::running) return false;
@@ -732,21 +736,10 @@
     }
   }
 
-  // Slow start: a cold server gets its part of what each warm one answers (what it is sent may be more than
-  // any can do, id9b425). A turn not used for a second is gone, or a fleet would save and spend them at once.
   void refill_cold(Nanos passed) {
     served_recently_ *= std::exp(-static_cast<double>(passed) / kRateWindow);
-    double capacity = 0;
-    for (const auto& server : servers_) {
-      if (server.entry.state == ServerState::running) capacity += warmth(server);
-    }
-    const double per_unit = served_recently_ * kSecond / kRateWindow / std::max(capacity, 1.0);
-    for (auto& server : servers_) {
-      pool::AnswerTimes::fade(server, std::chrono::nanoseconds(passed));
-      const double rate = per_unit * warmth(server) + kColdFloor / s_.gateways;
-      server.cold_tokens += rate * static_cast<double>(passed) / kSecond;
-      if (server.cold_tokens > 1 + rate) server.cold_tokens = rate < 1 ? drawn() * rate : 1 + rate / 4;
-    }
+    const double per_s = served_recently_ * kSecond / kRateWindow;
+    cold_start_.refill(servers_, per_s, passed, now_, [this] { return drawn(); });
   }
 
   // ---- attempts and answers ---------------------------------------------------------------------
@@ -910,11 +903,12 @@
 
   void open_books() {
     started_at_ = now_;
-    const double rate = kMailShare * s_.peer_messages_per_s * std::max(1.0, (s_.gateways - 1) / kMailPeers);
+    books_->next_split = (now_ / kSubperiod + 1) * kSubperiod;
+    const double rate = ledger::messages_of(s_.peer_messages_per_s, s_.index, s_.gateways, s_.keepers);
     const auto life = static_cast<std::uint16_t>(life_);
     books_->mail =
         std::make_unique<ledger::Mail>(ledger::MailTerms{s_.gateways, s_.index, life, s_.message_bytes, rate,
-                                                         kMailBurst, s_.peers, s_.guarded, s_.seed},
+                                                         ledger::kMailBurst, s_.peers, s_.guarded, s_.seed},
                                        time());
     books_->isolation.emplace(time());
     books_->ledgers = std::make_unique<ledger::Ledgers>(mail().rights());
@@ -949,14 +943,18 @@
     if (now_ >= next_split_) {
       next_split_ = (now_ / kSubperiod + 1) * kSubperiod;
       refill_cold(now_ - std::exchange(refilled_, now_));
+    }
+    // What modules that hold quotas together share is looked at by the first of them whose turn comes.
+    if (now_ >= books_->next_split) {
+      books_->next_split = (now_ / kSubperiod + 1) * kSubperiod;
       for (auto& [hash, ledger] : ledgers().all()) share_out(ledger, -1);
       forget();
     }
-    for (const auto hash : std::vector<std::uint32_t>(busy_.begin(), busy_.end())) {
+    agenda_.look(time(), [this](std::uint32_t hash) -> std::optional<ledger::Time> {
       auto& a = accounts_.at(hash);
-      seek(a);
-      if (a.held == 0 && !a.news && a.asked <= a.answered) busy_.erase(hash);
-    }
+      const ledger::Time again(seek(a));
+      return a.held > 0 || a.news || a.asked > a.answered ? std::optional(again) : std::nullopt;
+    });
     release_held();
     watch_attempts();
     next_tick_ = now_;
@@ -965,22 +963,24 @@
   // A quiet account goes once its store is full again, and after its keepers have dropped their claims, whose
   // totals would not fit its next ones. A ledger goes once it is full.
   void forget() {
-    ledgers().forget(time(), ledger::Time(kForget));
+    const auto after = accounts_.size() < kManyAccounts ? kRemember : kForget;
+    ledgers().forget(time(), ledger::Time(after));
     std::erase_if(accounts_, [&](const auto& item) {
       const auto& [hash, a] = item;
-      if (a.held > 0 || a.open > 0 || busy_.contains(hash)) return false;
+      if (a.held > 0 || a.open > 0 || agenda_.contains(hash)) return false;
       if (!a.plan) return true;
       const auto quiet = now_ - std::max(a.filled, a.asked);
       const double level = a.level + a.plan->rate * static_cast<double>(quiet) / kSecond;
       const double part = alone() ? 1.0 / a.spread : 1;
-      return quiet > kForget && (a.plan->rate <= 0 || level >= a.plan->burst * part);
+      return quiet > after && (a.plan->rate <= 0 || level >= a.plan->burst * part);
     });
   }
 
   // Timers only while something waits; the subperiod's otherwise.
   void wake() {
-    const bool works = !jobs_.empty() || !busy_.empty() || mail().waits() || ledgers().hands();
-    auto at = works ? std::min(next_split_, last_tick_ + kTick) : next_split_;
+    const bool works = !jobs_.empty() || mail().waits() || ledgers().hands();
+    const auto due = works ? 0 : agenda_.next().value_or(ledger::Time(next_split_)).count();
+    auto at = std::min(next_split_, std::max<Nanos>(due, last_tick_ + kTick));
     if (s_.guarded) at = std::min(at, next_guard_);
     if (at != next_tick_ || at <= now_) act(SetTimer{1, next_tick_ = std::max(at, now_ + 1)});
   }
@@ -991,7 +991,7 @@
   const std::vector<PlanSettings>& plans_ = books_->plans;
   std::uint32_t& life_ = books_->life;
   std::map<std::uint32_t, Account>& accounts_ = books_->accounts;
-  std::set<std::uint32_t>& busy_ = books_->busy;
+  ledger::Agenda& agenda_ = books_->agenda;
   std::vector<Nanos>& shunned_until_ = books_->shunned_until;
   Nanos& started_at_ = books_->started;
   Nanos now_ = 0;
@@ -1006,6 +1006,7 @@
   pool::AnswerTimes times_{kFirstLatency};
   pool::Load load_;
   const pool::Windows windows_{s_.gateways};
+  const pool::ColdStart cold_start_{s_.cold_from, s_.warm_up, s_.gateways};
   double served_recently_ = 0, hedge_tokens_ = 0;
   Server fresh_;
   std::vector<Server> servers_;
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -85,7 +85,7 @@
     }
     out_.peer_messages_per_s = settings_.peer_messages_per_s;
     if (!node.IsDefined()) return;
-    if (!yaml_.map(node, "tier", {"index", "listen", "peers", "messages_per_s", "quotas"})) return;
+    if (!yaml_.map(node, "tier", {"index", "listen", "peers", "keepers", "messages_per_s", "quotas"})) return;
     out_.peers.clear();
     for (const auto& peer : yaml_.texts(node, "peers", "tier.")) {
       if (const auto at = address(node["peers"], "tier.peers", peer)) out_.peers.push_back(*at);
@@ -96,12 +96,17 @@
     settings_.gateways = std::max(1, static_cast<int>(out_.peers.size()));
     settings_.index = static_cast<int>(yaml_.number(node, "index", "tier.", 0, 0, settings_.gateways - 1));
     settings_.peers = out_.peer_listen && settings_.gateways > 1;
+    settings_.keepers =
+        static_cast<int>(yaml_.number(node, "keepers", "tier.", 0, 0, std::max(0, settings_.gateways - 1)));
     out_.peer_messages_per_s = yaml_.number(node, "messages_per_s", "tier.", 40, 1, 1e6);
     settings_.peer_messages_per_s = out_.peer_messages_per_s;
     const auto quotas = yaml_.text(node, "quotas", "tier.", "trusting");
     if (quotas != "trusting" && quotas != "guarded")
       yaml_.fault(node["quotas"], "tier.quotas", "must be trusting or guarded");
     settings_.guarded = quotas == "guarded";
+    if (settings_.guarded && settings_.keepers > 0)
+      yaml_.fault(node["keepers"], "tier.keepers",
+                  "goes with trusting quotas only: every member guards its part");
     if (settings_.guarded && settings_.gateways > ledger::kMostGuarded) {
       yaml_.fault(
           node["peers"], "tier.peers",
--- a/src/handover/module_state.cpp
+++ b/src/handover/module_state.cpp
@@ -99,7 +99,7 @@
   books.accounts = std::move(state.accounts);
   for (auto& [hash, a] : books.accounts) {
     a.plan = &books.plans[static_cast<std::size_t>(state.plans.at(hash))];
-    if (a.asked > a.answered || a.news) books.busy.insert(hash);
+    if (a.asked > a.answered || a.news) books.agenda.by(hash, ledger::Time(0));
   }
   books.ledgers->all() = std::move(state.ledgers);
   memory.servers = std::move(state.servers);
--- a/src/ledger/account.h
+++ b/src/ledger/account.h
@@ -5,6 +5,7 @@
 
 #include "cranemux/brain.h"
 #include "ledger/ledger.h"
+#include "ledger/standing.h"
 
 namespace cranemux::ledger {
 
@@ -31,6 +32,7 @@
   Nanos hold_until = 0;  // until when what is held is held, once a keeper has told that it has none
   bool alone = false;    // `level` is its even share, since no other gatekeeper is heard
   bool news = false;     // what its keeper assumes of it has changed
+  Standing standing;     // what may be spent before it is asked for
   Spender spender;       // where quotas are guarded: what stands in for `limit`
 };
 
--- /dev/null
+++ b/src/ledger/keeping.h
@@ -0,0 +1,23 @@
+// Who keeps a customer's ledger in a tier that trusts its members: one of the customer's own set, so that a
+// part of its requests needs no mail. Free of I/O.
+#pragma once
+
+#include <cstdint>
+
+namespace cranemux::ledger {
+
+constexpr int kKeepers = 3;  // of a part of a ledger: its keeper and those that stand in for it, in turn
+
+// `rank`: 0 the keeper, then those that stand in. `first`, `spread`: the customer's set, counted round.
+// `aside`: so many of the members, the last ones, are set aside to keep ledgers; 0: none are.
+inline int keeper_at(std::uint32_t customer, int part, int rank, int first, int spread, int members,
+                     int aside) {
+  if (aside > 0)
+    return members - aside +
+           static_cast<int>((customer + static_cast<unsigned>(rank)) % static_cast<unsigned>(aside));
+  const auto place =
+      (customer + static_cast<unsigned>(part * kKeepers + rank)) % static_cast<unsigned>(spread);
+  return static_cast<int>((static_cast<unsigned>(first) + place) % static_cast<unsigned>(members));
+}
+
+}  // namespace cranemux::ledger
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -19,6 +19,7 @@
 #include "ledger/bound.h"
 #include "ledger/pacing.h"
 #include "ledger/rights.h"
+#include "ledger/standing.h"
 
 namespace cranemux::ledger {
 
@@ -33,6 +34,7 @@
   std::uint32_t turn = 0;    // of the gatekeeper's changes of keeper in that life; 0 where it has one only
   std::int64_t owed = 0;     // of `used`: beyond what its last keeper had granted
   Time hold{0};              // what it holds without a credit is refused after so long
+  bool report = false;       // nobody waits for an answer
 };
 
 struct Claim {  // what a keeper knows of one gatekeeper's part in a ledger
@@ -50,6 +52,7 @@
   double level = 0;                      // less what is granted
   std::uint32_t parts = 1;
   AskPacing pacing = {};
+  Slack slack = {};
   Time filled{0}, opened{0}, heard{0};
   std::map<int, Claim> claims = {};  // by gatekeeper
   std::set<std::tuple<int, std::uint32_t, std::uint64_t>> hands =
--- a/src/ledger/mail.cpp
+++ b/src/ledger/mail.cpp
@@ -8,9 +8,9 @@
 namespace cranemux::ledger {
 namespace {
 
-constexpr std::uint8_t kTrusting = 4, kGuarded = 5;  // versions
+constexpr std::uint8_t kTrusting = 6, kGuarded = 5;  // versions
 constexpr std::size_t kHead = 3, kEntry = 5;
-constexpr int kFigures[2][4] = {{8, 5, -1, -1}, {8, 6, 2, -1}};  // by kind; -1: there is none
+constexpr int kFigures[2][4] = {{9, 6, -1, -1}, {8, 6, 2, -1}};  // by kind; -1: there is none
 
 membership::Settings members_of(const MailTerms& terms) {
   membership::Settings out;
--- a/src/ledger/mail.h
+++ b/src/ledger/mail.h
@@ -4,10 +4,10 @@
 // A message is a head, then entries. Head: version (1), life of the sender (2, little endian); where quotas
 // are guarded more follows (frame.h). An entry: kind and plan (1: two bits and six), customer (4, little
 // endian), and figures as varints:
-//   ask    used, level, weight, wanted, number (guarded) or turn, hold in 10 ms, parts of the ledger, owed
+//   ask    used, level, weight, wanted, number (guarded) or turn, hold in 10 ms, parts of the ledger, owed;
+//          trusting: whether it is a report only
 //   grant  life of who asked, limit, level, number or turn, pause in 50 ms; guarded: whether the keeper has
-//   the
-//          right
+//          the right; trusting: whether the store is far from empty
 //   hand   level, number; guarded only: a ledger on its way to its keeper
 //   news   of the members (membership.h), until the message's end; guarded only
 #pragma once
@@ -32,7 +32,7 @@
   Kind kind = Kind::ask;
   std::uint32_t plan = 0;  // its number in the settings
   std::uint32_t customer = 0;
-  std::array<std::uint64_t, 8> figures{};
+  std::array<std::uint64_t, 9> figures{};
 };
 
 struct MailTerms {
--- a/src/ledger/split.h
+++ b/src/ledger/split.h
@@ -11,6 +11,19 @@
 
 namespace cranemux::ledger {
 
+constexpr double kWeightScale = 100;  // T*V/K is this many times the largest request
+constexpr double kWeightSteps = 16;   // weights travel in steps of 1/16
+
+// Of one held request.
+inline double weight_of(double units, double most_units) {
+  return std::max(0.0, std::log10(kWeightScale * most_units / std::max(units, 1e-9)));
+}
+
+// Of places that cannot be told of in time: one at least, and the first of the set have what is left over.
+inline int even_part(int whole, int place, int spread) {
+  return std::max(1, (whole + spread - 1 - place) / spread);
+}
+
 struct SplitTerms {
   double most_units = 1;  // of one request
   int open_limit = 0;     // > 0: places of attempts out at once are split, not units
