--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -565,9 +565,9 @@
     if (asker >= 0) grant(ledger, asker);
     if (s_.guarded || plan.rate <= 0) return;
     const bool all = ledger.slack.look(ledger.level, ledger.burst, time());
-    for (const auto& [gateway, claim] : ledger.claims) {
-      if (gateway != asker && (all || (gateway == told && ledger.slack.tight(time()))))
-        grant(ledger, gateway);
+    if (!all && told >= 0 && ledger.slack.tight(time())) grant(ledger, told);
+    for (auto at = ledger.claims.begin(); all && at != ledger.claims.end(); ++at) {
+      if (at->first != asker) grant(ledger, at->first);
     }
   }
 
