--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -541,7 +541,7 @@
     if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
       ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
     }
-    if (ledger.merge(from, ask, time())) share_out(ledger, ask.report ? -1 : from, from);
+    if (ledger.merge(from, ask, time())) share_out(ledger, ask.report ? -1 : from, ask.report ? from : -1);
   }
 
   // Without the right to keep: the asking gateway may turn to its part.
