--- a/tests/services_config_test.cpp
+++ b/tests/services_config_test.cpp
@@ -34,6 +34,18 @@
   }
 }
 
+TEST(ServicesConfig, MembersSetAsideAreFewerThanAllAndGoWithTrustingQuotas) {
+  const auto tier = [](const std::string& more) {
+    return "tier: {index: 0, listen: \"127.0.0.1:9\", peers: [\"127.0.0.1:9\", \"127.0.0.1:10\", "
+           "\"127.0.0.1:11\"]" +
+           more + "}\n" + kHead + kPools + kRoutes;
+  };
+  EXPECT_EQ(good(tier("")).pools.at("a").settings.keepers, 0);
+  EXPECT_EQ(good(tier(", keepers: 2")).pools.at("a").settings.keepers, 2);
+  EXPECT_NE(faults(tier(", keepers: 3")).find("tier.keepers"), std::string::npos);
+  EXPECT_NE(faults(tier(", keepers: 1, quotas: guarded")).find("tier.keepers"), std::string::npos);
+}
+
 TEST(ServicesConfig, AFileIsRead) {
   const auto services = good("limits: {sockets: 500, memory_mb: 64}\n" + kHead + kPools + kRoutes);
   EXPECT_EQ(services.pools.size(), 2U);
--- a/tests/tier_processes_test.cpp
+++ b/tests/tier_processes_test.cpp
@@ -99,4 +99,25 @@
   EXPECT_LE(refused_in(3s), kRefusedOfAll);
 }
 
+// Three serve, and the last two are set aside to keep all quotas: nobody else is asked, and when one of the
+// two is killed the other stands in.
+TEST_F(tier_of_five, members_set_aside_keep_all_quotas) {
+  tier.more = ", keepers: 2";
+  for (auto& sender : tier.senders) sender->to = [this] { return static_cast<int>(tier.random() % 3); };
+  std::size_t astray = 0, asked = 0;
+  tier.relay->seen = [&](int from, int to, const std::string&) { ++(from < 3 && to < 3 ? astray : asked); };
+  tier.start();
+  tier.play(3s);
+  EXPECT_LE(refused_in(3s), kRefusedOfAll + 0.05);
+  EXPECT_LE(busy_in(3s), 1.5);
+  EXPECT_GE(busy_in(3s), 0.5);
+  EXPECT_GT(asked, 100U);
+  EXPECT_EQ(astray, 0U);
+  tier.kill(4);
+  tier.play(1500ms);
+  EXPECT_LE(refused_in(3s), kRefusedOfAll + 0.1);
+  EXPECT_LE(busy_in(3s), 1.5);
+  expect_rules_kept();
+}
+
 }  // namespace
