--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -135,9 +135,7 @@
     const auto defined = read_slopes(slopes, text_of(slopes));
     const auto rows = rows_of(results);
     if (*fit) {
-      std::vector<Fit> fits;
-      for (const auto& slope : defined) fits.push_back(cranemux::scale::fit(slope, rows));
-      std::printf("%s", describe(fits).c_str());
+      std::printf("%s", describe(fit_all(defined, rows)).c_str());
       return 0;
     }
     const auto faults = check_page(page, text_of(page), defined, rows);
--- a/scale/results.h
+++ b/scale/results.h
@@ -1,7 +1,7 @@
 // What runs have measured, as CSV: a row a figure. Free of I/O.
 #pragma once
 
-#include <map>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
