--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -1,10 +1,10 @@
 #include "scale/hollow.h"
 
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <barrier>
-#include <chrono>
 #include <cmath>
 #include <fstream>
 #include <functional>
@@ -31,6 +31,12 @@
 constexpr double kBackoff = 0.02, kBackoffMost = 0.16;  // of a client's retry, in seconds
 
 Nanos nanos(double seconds) { return std::llround(seconds * kSecond); }
+// Of the calling thread: what runs beside it does not count.
+double processor_ns() {
+  timespec at{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+  return static_cast<double>(at.tv_sec) * 1e9 + static_cast<double>(at.tv_nsec);
+}
 double resident_kb() {
   std::ifstream in("/proc/self/statm");
   double size = 0, resident = 0;
@@ -229,10 +235,9 @@
 
 void Hollow::feed(int service, const std::vector<Event>& events, double& cost) {
   std::vector<Action> actions;
-  const auto from = std::chrono::steady_clock::now();
+  const double from = processor_ns();
   brains_[static_cast<std::size_t>(service)].step(now_, events, actions);
-  const auto took = std::chrono::steady_clock::now() - from;
-  if (fleet_.counts_at(now_)) cost += static_cast<double>(took.count());
+  if (fleet_.counts_at(now_)) cost += processor_ns() - from;
   for (const auto& action : actions) carry_out(service, action);
 }
 
@@ -411,7 +416,7 @@
   for (const auto& f : s.faults) {
     const auto at = kBegin + nanos(f.at_s);
     if (f.kind == FaultKind::restart) {
-      std::vector<int> order(gatekeepers_.size());
+      std::vector<int> order(static_cast<std::size_t>(s.gatekeepers));
       std::iota(order.begin(), order.end(), 0);
       std::shuffle(order.begin(), order.end(), random);
       for (int i = 0; i < std::min(f.gatekeepers, s.gatekeepers); ++i)
@@ -496,12 +501,19 @@
                    static_cast<double>(s.workers), static_cast<double>(s.services),
                    static_cast<double>(s.customers), 0, s.requests_per_s, measure, unit, value});
   };
+  // Of the gatekeepers, and, as `machine_...`, of the members set aside.
   const auto by_gatekeeper = [&](const std::string& measure, const std::string& unit, auto figure) {
-    std::vector<double> values;
-    for (const auto& g : gatekeepers_) values.push_back(figure(g->counts));
-    add(measure, unit,
-        std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size()));
-    add(measure + "_p99", unit, at_part(values, 0.99));
+    const auto serving = gatekeepers_.begin() + s.gatekeepers;
+    const auto add_role = [&](const std::string& name, auto from, auto to) {
+      std::vector<double> values;
+      for (; from != to; ++from) values.push_back(figure((*from)->counts));
+      if (values.empty()) return;
+      add(name, unit,
+          std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size()));
+      add(name + "_p99", unit, at_part(values, 0.99));
+    };
+    add_role(measure, gatekeepers_.begin(), serving);
+    add_role("machine_" + measure, serving, gatekeepers_.end());
   };
   by_gatekeeper("mail_out", "datagrams/s", [&](const Counts& c) { return c.sent / s.seconds; });
   by_gatekeeper("mail_in", "datagrams/s", [&](const Counts& c) { return c.come / s.seconds; });
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -6,11 +6,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
-#include <initializer_list>
 #include <map>
 #include <random>
-#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -92,6 +89,7 @@
   std::uint32_t account = 0;
   Nanos arrived = 0, deadline = 0, goal = 0, hold_until = 0, next_try = 0;
   bool admitted = false, done = false, beyond = false;
+  double lot = 0;  // where customers are throttled
   int out = 0;
   std::vector<Attempt> attempts;
 };
@@ -116,10 +114,7 @@
 
   std::optional<Allowance> allowance(Nanos now, const std::string& customer) const {
     const auto at = accounts_.find(ledger::hash_of(customer));
-    if (at == accounts_.end() || !at->second.plan || at->second.plan->rate <= 0) return std::nullopt;
-    const auto& a = at->second;
-    const double since = a.plan->rate * static_cast<double>(now - a.filled) / kSecond;
-    return Allowance{std::min(a.plan->burst, a.left + since), a.plan->burst, a.plan->rate};
+    return at == accounts_.end() ? std::nullopt : ledger::allowance_of(at->second, now);
   }
 
   std::size_t avoided(Nanos now) const {
@@ -199,6 +194,7 @@
     const double refilled = a.plan->rate > 0 ? a.plan->burst / a.plan->rate * kSecond : 0;
     if (static_cast<double>(now_ - started_at_) >= refilled) a.answered = now_;
     fill(a);
+    if (s_.keepers > 0) books_->meet(a, 2 * s_.most_units, time());
   }
 
   // A gateway that hears none of the others spends its even share alone.
@@ -241,12 +237,14 @@
   }
 
   // An even share of D, while word of it is fresh, is spent at once; else what a keeper has granted.
-  bool has_credit(const Account& a, double units) const {
+  bool has_credit(const Account& a, const Job& job) const {
+    const double units = job.request.units;
     if (!has_place(a)) return false;
     if (guarded(a)) {
       return a.spender.covers(a.total, units, part(a.plan->rate), part(a.plan->burst), time());
     }
     if (alone()) return a.plan->rate > 0 ? a.level >= units : a.open * a.spread < a.plan->open_limit;
+    if (a.standing.throttled(time())) return a.standing.lets(job.lot);
     if (stands(a, units)) return true;
     if (now_ > a.answered + kCreditLife) return false;  // stale, as after a stall
     if (a.plan->rate > 0) {
@@ -302,6 +300,7 @@
       if (c.name == request.klass) job.klass = &c;
     }
     job.arrived = now_;
+    if (s_.keepers > 0) job.lot = drawn();
     job.goal = job.deadline = now_ + kUploadMost;
     if (!request.uploading) begin(job);
     const auto hold = static_cast<Nanos>(kHoldOfAim * static_cast<double>(job.klass->aim));
@@ -349,6 +348,7 @@
   // Once its keeper has answered, a request hopes for the next shares only so long: refused sooner, its
   // client comes again within the aim.
   Nanos hold_of(const Job& job, const Account& a) const {
+    if (a.standing.throttled(time())) return job.arrived;  // no word will come in time
     return a.asked > a.answered ? job.hold_until : std::min(job.hold_until, told_hold(job));
   }
   static Nanos told_hold(const Job& job) {
@@ -361,7 +361,7 @@
     if (a.plan) fill(a);
     const double units = job.request.units;
     const bool room = a.plan && (a.plan->ceiling_rate <= 0 || a.ceiling >= units);
-    const bool credit = room && has_credit(a, units);
+    const bool credit = room && has_credit(a, job);
     // Servers are only looked through for what could go: at full size that is most of the CPU.
     const auto hold = hold_of(job, a);
     const int server = credit || (room && now_ >= hold) ? choose(job) : -1;
@@ -376,6 +376,10 @@
     const auto last = credit || (a.plan && a.plan->rate <= 0) ? std::min(job.goal, job.arrived + wait) : hold;
     if (now_ < last) return false;
     leave_queue(job, a);
+    if (!credit && a.standing.throttled(time())) {
+      a.standing.turn_away(units, time());
+      note(a);
+    }
     // Where a plan earns more beyond its quota than it costs, idle servers take what would be refused.
     if (server >= 0 && idle_ && room && a.plan->over_worth > a.plan->over_cost) {
       a.ceiling -= units;
@@ -434,6 +438,7 @@
                             time());
       }
       const auto a = accounts_.find(entry.customer);
+      if (entry.kind == ledger::Kind::throttle) books_->throttle(ledger::throttle_word(entry), time());
       if (entry.kind == ledger::Kind::grant && v[0] == life_ && a != accounts_.end())
         granted(a->second, static_cast<std::int64_t>(v[1]), v[2], static_cast<std::uint32_t>(v[3]),
                 ledger::kPauseStep * static_cast<int>(std::min<std::uint64_t>(v[4], 255)), v[5] == 1);
@@ -468,9 +473,9 @@
   // look again.
   Nanos seek(Account& a) {
     const bool waits = a.asked > a.answered;
-    const bool gathers = a.held == 0 && !waits && a.standing.open(time());
+    const bool gathers = a.held == 0 && !waits && a.standing.reports(time());
     if (gathers && a.standing.due() > time()) return a.standing.due().count();
-    const bool report = gathers && !a.standing.wants_word(a.lend);
+    const bool report = gathers && !a.standing.wants_word(a.lend, time());
     int keeper = keeper_of(a);
     const bool none = a.sure < a.parts;  // its part had none left
     const auto spent = keeper != s_.index && none ? a.pause : 0;
@@ -496,22 +501,8 @@
     if (!report) a.asked = now_;
     a.asked_units = a.held_units;
     if (keeper < 0) return now_;
-    const auto used = a.plan->rate > 0 ? a.total : a.open;
-    const auto weight = static_cast<std::uint64_t>(std::llround(a.held_weight * ledger::kWeightSteps));
-    const auto wanted = static_cast<std::uint64_t>(std::llround(a.plan->rate > 0 ? a.held_units : a.held));
-    const auto level = ledger::told_level(a.plan->burst, a.level);
-    const auto number =
-        guarded(a) ? a.spender.credit.ask(used, static_cast<std::int64_t>(wanted), time()) : a.turn;
-    const auto hold = std::max<Nanos>(0, a.hold_until - now_);
-    const auto owed = a.plan->rate > 0 && !guarded(a) ? std::max<std::int64_t>(0, a.total - a.limit) : 0;
-    const ledger::Entry entry{ledger::Kind::ask,
-                              static_cast<std::uint32_t>(a.plan - plans_.data()),
-                              a.hash,
-                              {static_cast<std::uint64_t>(used), level, weight, wanted, number,
-                               static_cast<std::uint64_t>(hold / kTick), static_cast<std::uint64_t>(a.parts),
-                               static_cast<std::uint64_t>(owed), report ? 1U : 0U}};
-    a.standing.reported();
-    if (report) a.limit = std::max(a.limit, a.total);
+    const auto plan = static_cast<std::uint32_t>(a.plan - plans_.data());
+    const auto entry = ledger::entry_of(a, plan, guarded(a), report, time());
     if (keeper != s_.index && !report) books_->isolation->asked(keeper);
     keeper != s_.index || alone() ? mail().write(keeper, entry) : keep(keeper, entry, life_);
     return now_;
@@ -520,9 +511,9 @@
   Ledger& open_ledger(const ledger::Entry& entry) {
     const auto& plan = plans_[entry.plan];
     const auto parts = entry.kind == ledger::Kind::ask ? static_cast<std::uint32_t>(entry.figures[6]) : 1;
-    Ledger fresh{entry.customer, entry.plan, plan.rate / parts, plan.burst / parts, debt_of(plan)};
-    fresh.parts = parts;
-    return ledgers().open(fresh, time());
+    return ledgers().open({entry.customer, entry.plan, plan.rate / parts, plan.burst / parts, debt_of(plan),
+                           0, parts, s_.keepers > 0},
+                          time());
   }
 
   // As keeper: what `from` used beyond its limit was borrowed, what it no longer wants comes back.
@@ -541,7 +532,8 @@
     if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
       ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
     }
-    if (ledger.merge(from, ask, time())) share_out(ledger, ask.report ? -1 : from, ask.report ? from : -1);
+    const bool told = ask.report && (s_.keepers == 0 || ask.throttled != ledger.throttle.on());
+    if (ledger.merge(from, ask, time())) share_out(ledger, ask.report ? -1 : from, told ? from : -1);
   }
 
   // Without the right to keep: the asking gateway may turn to its part.
@@ -564,6 +556,12 @@
     }
     if (asker >= 0) grant(ledger, asker);
     if (s_.guarded || plan.rate <= 0) return;
+    if (s_.keepers > 0) {
+      const auto share = ledger.throttle.look(ledger.level, ledger.rate, ledger.burst, time());
+      if (share) return mail().tell({ledger.plan, ledger.customer, *share});
+      if (told >= 0) mail().tell(told, {ledger.plan, ledger.customer, ledger.throttle.said()});
+      return;
+    }
     const bool all = ledger.slack.look(ledger.level, ledger.burst, time());
     if (!all && told >= 0 && ledger.slack.tight(time())) grant(ledger, told);
     for (auto at = ledger.claims.begin(); all && at != ledger.claims.end(); ++at) {
@@ -575,7 +573,7 @@
     const auto& claim = ledger.claims.at(to);
     const auto level = ledger::told_level(ledger.burst, ledger.level);
     const auto number = s_.guarded ? claim.number : claim.turn;
-    const bool open = s_.guarded || (ledger.rate > 0 && !ledger.slack.tight(time()));
+    const bool open = s_.guarded || (ledger.rate > 0 && !ledger.tight(time()));
     if (to == s_.index)
       return granted(accounts_[ledger.customer], claim.limit, level, number, ledger::Time(0), open);
     mail().write(to,
@@ -906,10 +904,10 @@
     books_->next_split = (now_ / kSubperiod + 1) * kSubperiod;
     const double rate = ledger::messages_of(s_.peer_messages_per_s, s_.index, s_.gateways, s_.keepers);
     const auto life = static_cast<std::uint16_t>(life_);
-    books_->mail =
-        std::make_unique<ledger::Mail>(ledger::MailTerms{s_.gateways, s_.index, life, s_.message_bytes, rate,
-                                                         ledger::kMailBurst, s_.peers, s_.guarded, s_.seed},
-                                       time());
+    books_->mail = std::make_unique<ledger::Mail>(
+        ledger::MailTerms{s_.gateways, s_.index, life, s_.message_bytes, rate, ledger::kMailBurst, s_.peers,
+                          s_.guarded, s_.seed, s_.keepers},
+        time());
     books_->isolation.emplace(time());
     books_->ledgers = std::make_unique<ledger::Ledgers>(mail().rights());
   }
@@ -965,7 +963,8 @@
   void forget() {
     const auto after = accounts_.size() < kManyAccounts ? kRemember : kForget;
     ledgers().forget(time(), ledger::Time(after));
-    std::erase_if(accounts_, [&](const auto& item) {
+    books_->throttled.forget(time());
+    ledger::erase_some(accounts_, books_->swept, [&](const auto& item) {
       const auto& [hash, a] = item;
       if (a.held > 0 || a.open > 0 || agenda_.contains(hash)) return false;
       if (!a.plan) return true;
--- a/src/handover/module_state.cpp
+++ b/src/handover/module_state.cpp
@@ -101,6 +101,9 @@
     a.plan = &books.plans[static_cast<std::size_t>(state.plans.at(hash))];
     if (a.asked > a.answered || a.news) books.agenda.by(hash, ledger::Time(0));
   }
+  for (auto& [hash, ledger] : state.ledgers) {
+    for (const auto& [gateway, claim] : ledger.claims) ledger.stand(gateway);
+  }
   books.ledgers->all() = std::move(state.ledgers);
   memory.servers = std::move(state.servers);
   for (std::size_t i = 0; i < memory.servers.size(); ++i) {
--- a/src/ledger/account.h
+++ b/src/ledger/account.h
@@ -1,7 +1,9 @@
 // What a gatekeeper knows of a customer whose requests come through it.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 
 #include "cranemux/brain.h"
 #include "ledger/ledger.h"
@@ -36,4 +38,11 @@
   Spender spender;       // where quotas are guarded: what stands in for `limit`
 };
 
+// What its customer may yet use, as far as is known here; nothing where its plan has no rate.
+inline std::optional<Allowance> allowance_of(const Account& a, Nanos now) {
+  if (!a.plan || a.plan->rate <= 0) return std::nullopt;
+  const double since = a.plan->rate * static_cast<double>(now - a.filled) / 1e9;
+  return Allowance{std::min(a.plan->burst, a.left + since), a.plan->burst, a.plan->rate};
+}
+
 }  // namespace cranemux::ledger
--- a/src/ledger/asks.h
+++ b/src/ledger/asks.h
@@ -2,13 +2,21 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
+#include "ledger/account.h"
 #include "ledger/ledger.h"
 #include "ledger/mail.h"
+#include "ledger/split.h"
 
 namespace cranemux::ledger {
 
-constexpr std::uint64_t kSaneFigure = 1'000'000'000;  // an entry that says more is damaged
+constexpr Time kHoldStep = std::chrono::milliseconds(10);  // on the wire
+constexpr std::uint64_t kSaneFigure = 1'000'000'000;       // an entry that says more is damaged
+
+// The last figure of a question or report.
+constexpr std::uint64_t kQuestion = 0, kReport = 1, kThrottledReport = 2;
 
 inline bool sane(const Entry& entry) {
   const auto& v = entry.figures;
@@ -28,10 +36,37 @@
   out.used = figure(0);
   out.weight = static_cast<double>(figure(2));
   out.wanted = figure(3);
-  out.hold = std::chrono::milliseconds(10) * std::min<std::int64_t>(figure(5), 1000);
+  out.hold = kHoldStep * std::min<std::int64_t>(figure(5), 1000);
   out.owed = std::min(out.used, figure(7));
-  out.report = !guarded && figure(8) == 1;
+  out.report = !guarded && figure(8) > 0;
+  out.throttled = out.report && figure(8) == kThrottledReport;
+  if (out.report) out.turned_away = static_cast<double>(std::exchange(out.wanted, 0));
   return out;
 }
 
+inline ThrottleWord throttle_word(const Entry& entry) {
+  return {entry.plan, entry.customer, static_cast<int>(std::min<std::uint64_t>(entry.figures[0], kAll))};
+}
+
+// The same from what is known of an account: a question, or a report where nobody waits for an answer.
+// `plan`: its number in the settings.
+inline Entry entry_of(Account& a, std::uint32_t plan, bool guarded, bool report, Time now) {
+  const auto whole = [](double figure) { return static_cast<std::uint64_t>(std::llround(figure)); };
+  const bool places = a.plan->rate <= 0;
+  const auto used = places ? a.open : a.total;
+  const auto wanted = whole(report ? a.standing.turned_away() : places ? a.held : a.held_units);
+  const auto number = guarded ? a.spender.credit.ask(used, static_cast<std::int64_t>(wanted), now) : a.turn;
+  const auto hold = std::max<Nanos>(0, a.hold_until - now.count()) / kHoldStep.count();
+  const auto owed = places || guarded ? 0 : std::max<std::int64_t>(0, a.total - a.limit);
+  const auto last = !report ? kQuestion : a.standing.throttled(now) ? kThrottledReport : kReport;
+  a.standing.reported();
+  if (report) a.limit = std::max(a.limit, a.total);
+  return {Kind::ask,
+          plan,
+          a.hash,
+          {static_cast<std::uint64_t>(used), told_level(a.plan->burst, a.level),
+           whole(a.held_weight * kWeightSteps), wanted, number, static_cast<std::uint64_t>(hold),
+           static_cast<std::uint64_t>(a.parts), static_cast<std::uint64_t>(owed), last}};
+}
+
 }  // namespace cranemux::ledger
--- a/src/ledger/books.h
+++ b/src/ledger/books.h
@@ -26,6 +26,23 @@
   std::unique_ptr<Mail> mail;  // from the start on
   std::unique_ptr<Ledgers> ledgers;
   std::optional<tier::Isolation> isolation;
+  ThrottleList throttled;   // where members are set aside
+  std::uint32_t swept = 0;  // accounts, up to there
+
+  // A customer's first request here, where all are told who is throttled: who is not may spend before it is
+  // asked for, and `share` units whether its keeper is heard or not.
+  void meet(Account& a, double share, Time now) const {
+    if (a.plan->rate <= 0) return;
+    a.lend = share;
+    a.standing.told(true, share, now);
+    if (const auto part = throttled.share(a.hash, now)) a.standing.throttle(part_of(*part), now);
+  }
+  void throttle(const ThrottleWord& word, Time now) {
+    throttled.heard(word.customer, word.share, now);
+    const auto a = accounts.find(word.customer);
+    if (a != accounts.end()) a->second.standing.throttle(part_of(word.share), now);
+  }
+  static double part_of(int share) { return static_cast<double>(share) / kAll; }
 };
 
 }  // namespace cranemux::ledger
--- a/src/ledger/budget.h
+++ b/src/ledger/budget.h
@@ -14,6 +14,8 @@
 // A second. `taken_in`: by one gatekeeper; `aside`: members set aside to keep ledgers, the last of `members`.
 inline double messages_of(double taken_in, int self, int members, int aside) {
   if (aside > 0 && self < members - aside) return kMailShareAside * taken_in;
+  // All of them together send each gatekeeper no more than it takes in.
+  if (aside > 0) return kMailShareAside * taken_in * (members - aside) / aside;
   return kMailShare * taken_in * std::max(1.0, (members - 1) / kMailPeers);
 }
 
--- a/src/ledger/keeping.h
+++ b/src/ledger/keeping.h
@@ -8,6 +8,14 @@
 
 constexpr int kKeepers = 3;  // of a part of a ledger: its keeper and those that stand in for it, in turn
 
+// Is `member` one of the `aside` last ones, that keep ledgers and serve nobody?
+inline bool set_aside(int member, int members, int aside) { return member >= members - aside; }
+
+// Members that hear from `member` who is throttled: all gatekeepers, where it is set aside.
+inline int told_by(int member, int members, int aside) {
+  return aside > 0 && set_aside(member, members, aside) ? members - aside : 0;
+}
+
 // `rank`: 0 the keeper, then those that stand in. `first`, `spread`: the customer's set, counted round.
 // `aside`: so many of the members, the last ones, are set aside to keep ledgers; 0: none are.
 inline int keeper_at(std::uint32_t customer, int part, int rank, int first, int spread, int members,
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -20,6 +20,7 @@
 #include "ledger/pacing.h"
 #include "ledger/rights.h"
 #include "ledger/standing.h"
+#include "ledger/sweep.h"
 
 namespace cranemux::ledger {
 
@@ -35,6 +36,8 @@
   std::int64_t owed = 0;     // of `used`: beyond what its last keeper had granted
   Time hold{0};              // what it holds without a credit is refused after so long
   bool report = false;       // nobody waits for an answer
+  bool throttled = false;    // of reports: who sends it goes by a word of the keeper
+  double turned_away = 0;    // units, since the last report, by that word
 };
 
 struct Claim {  // what a keeper knows of one gatekeeper's part in a ledger
@@ -43,6 +46,7 @@
   std::int64_t used = 0;   // as last told
   double weight = 0, wanted = 0;
   Time at{0}, held_until{0};
+  double lacks() const { return wanted - static_cast<double>(limit - used); }
 };
 
 struct Ledger {
@@ -51,10 +55,13 @@
   double debt = 0;                       // how far below nothing the level may go; 0 or less
   double level = 0;                      // less what is granted
   std::uint32_t parts = 1;
+  bool throttles = false;  // its keeper is set aside and tells all who is throttled
   AskPacing pacing = {};
-  Slack slack = {};
+  Slack slack = {};  // where no members are set aside; there:
+  Throttle throttle = {};
   Time filled{0}, opened{0}, heard{0};
   std::map<int, Claim> claims = {};  // by gatekeeper
+  std::set<int> lacking = {};        // of them: those that may wait for more than they have
   std::set<std::tuple<int, std::uint32_t, std::uint64_t>> hands =
       {};  // taken over: from whom, its epoch, the number
 
@@ -66,6 +73,7 @@
       level = std::min(level, burst * part);
     filled = now;
   }
+  bool tight(Time now) const { return slack.tight(now) || throttle.on(); }
   void take(double units) { level = std::clamp(level - units, debt, burst); }
 
   // What an ask changes: what was used beyond its limit is taken, what is no longer wanted comes back. False:
@@ -77,14 +85,26 @@
     if (lives && ask.turn < claim.turn) return false;
     const bool known = lives && ask.turn == claim.turn;
     if (known && ask.number != 0 && static_cast<std::int32_t>(ask.number - claim.number) < 0) return false;
+    const auto more = known ? ask.used - claim.used : ask.owed;
+    if (throttles)
+      throttle.asked_for(ask.turned_away + static_cast<double>(std::max<std::int64_t>(0, more)), now);
     // What an earlier life may still have used stays taken: nobody can say that it has not.
     if (!known) claim.limit = ask.used - ask.owed;
     const auto limit = std::max(ask.used, std::min(claim.limit, ask.used + ask.wanted));
     take(static_cast<double>(limit - claim.limit));
     claim = {ask.life, ask.number,    ask.turn, limit, ask.used, ask.weight, static_cast<double>(ask.wanted),
              now,      now + ask.hold};
+    stand(from);
     return true;
   }
+  // Whether that gatekeeper lacks something has changed, or may have.
+  void stand(int gatekeeper) {
+    const auto at = claims.find(gatekeeper);
+    if (at != claims.end() && at->second.lacks() > 0)
+      lacking.insert(gatekeeper);
+    else
+      lacking.erase(gatekeeper);
+  }
 };
 
 // The asking side of a guarded quota: what this gatekeeper may use, by grants that may be lost, late or
@@ -223,13 +243,15 @@
   const std::map<std::uint32_t, Ledger>& all() const { return all_; }
 
   // Claims that nothing was heard of for half of `after` go, and full ledgers that nobody asked about for so
-  // long.
+  // long; a part of all ledgers at each call.
   void forget(Time now, Time after) {
-    for (auto& [customer, ledger] : all_) {
-      std::erase_if(ledger.claims, [&](const auto& c) { return now - c.second.at > after / 2; });
-    }
-    std::erase_if(all_, [&](const auto& item) {
-      const auto& ledger = item.second;
+    erase_some(all_, swept_, [&](auto& item) {
+      auto& ledger = item.second;
+      std::erase_if(ledger.claims, [&](const auto& c) {
+        if (now - c.second.at <= after / 2) return false;
+        ledger.lacking.erase(c.first);
+        return true;
+      });
       return now - ledger.heard > after && (ledger.rate <= 0 || ledger.level >= ledger.burst);
     });
   }
@@ -284,6 +306,7 @@
   static constexpr Time kHandAgain = std::chrono::milliseconds(60);
   const Rights* rights_;
   std::map<std::uint32_t, Ledger> all_;
+  std::uint32_t swept_ = 0;
   std::vector<Hand> hands_;
   std::uint64_t handed_ = 0, taken_ = 0;
 };
--- a/src/ledger/mail.cpp
+++ b/src/ledger/mail.cpp
@@ -1,16 +1,31 @@
 #include "ledger/mail.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "ledger/frame.h"
+#include "ledger/keeping.h"
 
 namespace cranemux::ledger {
 namespace {
 
-constexpr std::uint8_t kTrusting = 6, kGuarded = 5;  // versions
-constexpr std::size_t kHead = 3, kEntry = 5;
-constexpr int kFigures[2][4] = {{9, 6, -1, -1}, {8, 6, 2, -1}};  // by kind; -1: there is none
+constexpr std::uint8_t kTrusting = 7, kGuarded = 5;  // versions
+constexpr std::size_t kHead = 3, kEntry = 5, kWord = kEntry + 1;
+constexpr int kFigures[2][4] = {{9, 6, 1, -1}, {8, 6, 2, -1}};  // by code; -1: there is none
+constexpr Time kWordsGather = std::chrono::milliseconds(250);   // words of who is throttled, for one datagram
+constexpr Time kSigns = std::chrono::seconds(1);  // a member set aside is heard at least so often
+constexpr Time kLookEvery = std::chrono::milliseconds(10);
+
+unsigned code_of(Kind kind) { return static_cast<unsigned>(kind == Kind::throttle ? Kind::hand : kind); }
+Kind kind_of(unsigned code, bool guarded) {
+  const auto kind = static_cast<Kind>(code);
+  return kind == Kind::hand && !guarded ? Kind::throttle : kind;
+}
+void put_head(std::string& out, Kind kind, std::uint32_t plan, std::uint32_t customer) {
+  out += static_cast<char>(code_of(kind) | plan << 2U);
+  put_fixed(out, customer, 4);
+}
 
 membership::Settings members_of(const MailTerms& terms) {
   membership::Settings out;
@@ -26,7 +41,15 @@
 }  // namespace
 
 Mail::Mail(const MailTerms& terms, Time now)
-    : terms_(terms), peers_(static_cast<std::size_t>(terms.members)), posted_(now) {
+    : terms_(terms),
+      peers_(static_cast<std::size_t>(terms.members)),
+      tells_(terms.guarded ? 0 : told_by(terms.self, terms.members, terms.aside)),
+      words_(tells_),
+      posted_(now) {
+  // Not all at once, also where all have started together.
+  std::mt19937_64 random(terms.seed);
+  for (int to = 0; to < tells_; ++to)
+    peers_[static_cast<std::size_t>(to)].posted = now - kSigns * static_cast<int>(random() % 1000) / 1000;
   if (!terms_.guarded) return;
   rights_ = std::make_unique<Rights>(terms_.members, terms_.self, terms_.life,
                                      beats_of(terms_.members, terms_.messages_per_s), now);
@@ -40,16 +63,20 @@
 }
 
 void Mail::write(int to, const Entry& entry) {
-  if (!terms_.flows) return;
-  std::string out(1, static_cast<char>(static_cast<unsigned>(entry.kind) | entry.plan << 2U));
-  put_fixed(out, entry.customer, 4);
-  const int figures = kFigures[terms_.guarded][static_cast<std::size_t>(entry.kind)];
+  if (!terms_.flows || to == terms_.self) return;
+  std::string out;
+  put_head(out, entry.kind, entry.plan, entry.customer);
+  const int figures = kFigures[terms_.guarded][code_of(entry.kind)];
   for (int i = 0; i < figures; ++i) put(out, entry.figures[static_cast<std::size_t>(i)]);
   auto& entries = peers_[static_cast<std::size_t>(to)].entries;
   call(to);
   if (most_head() + entries.size() + out.size() <= terms_.message_bytes) entries += out;
 }
 
+void Mail::tell(int to, const ThrottleWord& word) {
+  write(to, {Kind::throttle, word.plan, word.customer, {static_cast<std::uint64_t>(word.share)}});
+}
+
 std::string Mail::message(int to, Time now) {
   auto& peer = peers_[static_cast<std::size_t>(to)];
   peer.posted = now;
@@ -59,7 +86,15 @@
   if (!terms_.guarded) {
     out += static_cast<char>(kTrusting);
     put_fixed(out, terms_.life, 2);
-    return out + entries;
+    out += entries;
+    if (to < tells_) {
+      words_.ride(to, terms_.message_bytes - std::min(terms_.message_bytes, out.size()), kWord,
+                  [&](const ThrottleWord& w) {
+                    put_head(out, Kind::throttle, w.plan, w.customer);
+                    put(out, static_cast<std::uint64_t>(w.share));
+                  });
+    }
+    return out;
   }
   out = head(kGuarded, terms_.life, rights_->say(to, now)) + entries;
   if (out.size() + 1 >= terms_.message_bytes) return out;
@@ -68,7 +103,17 @@
   return out;
 }
 
+void Mail::call_gatekeepers(Time now) {
+  if (tells_ == 0 || !terms_.flows || now - looked_ < kLookEvery) return;
+  looked_ = now;
+  for (int to = 0; to < tells_; ++to) {
+    const auto since = now - peers_[static_cast<std::size_t>(to)].posted;
+    if (since >= kSigns || (since >= kWordsGather && words_.behind(to))) call(to);
+  }
+}
+
 void Mail::post(Time now, const std::function<void(int to, std::string bytes)>& send) {
+  call_gatekeepers(now);
   const auto passed = static_cast<double>((now - posted_).count());
   stamps_ = std::min(terms_.burst, stamps_ + terms_.messages_per_s * passed / 1e9);
   posted_ = now;
@@ -97,13 +142,14 @@
   while (at < in.size()) {
     Entry entry;
     const auto first = static_cast<unsigned char>(in[at]);
-    entry.kind = static_cast<Kind>(first & 3U);
+    entry.kind = kind_of(first & 3U, terms_.guarded);
     entry.plan = first >> 2U;
     if (entry.kind == Kind::news && terms_.guarded) {
       members_->told(from, in.substr(at + 1), now);
       break;
     }
     const int figures = kFigures[terms_.guarded][first & 3U];
+    if (entry.kind == Kind::throttle && !set_aside(from, terms_.members, terms_.aside)) break;
     if (figures < 0 || at + kEntry > in.size()) break;
     entry.customer = static_cast<std::uint32_t>(fixed(in, at + 1, 4));
     at += kEntry;
--- a/src/ledger/mail.h
+++ b/src/ledger/mail.h
@@ -5,10 +5,13 @@
 // are guarded more follows (frame.h). An entry: kind and plan (1: two bits and six), customer (4, little
 // endian), and figures as varints:
 //   ask    used, level, weight, wanted, number (guarded) or turn, hold in 10 ms, parts of the ledger, owed;
-//          trusting: whether it is a report only
+//          trusting: 1 for a report only, 2 for one by a word of who is throttled; of reports wanted is what
+//          was refused by that word, in units since the last one
 //   grant  life of who asked, limit, level, number or turn, pause in 50 ms; guarded: whether the keeper has
 //          the right; trusting: whether the store is far from empty
 //   hand   level, number; guarded only: a ledger on its way to its keeper
+//   throttle  share in hundredths; trusting only, with hand's bits: of a member set aside, so much of what is
+//          asked for that customer may go
 //   news   of the members (membership.h), until the message's end; guarded only
 #pragma once
 
@@ -23,11 +26,12 @@
 
 #include "ledger/figures.h"
 #include "ledger/rights.h"
+#include "ledger/throttle.h"
 #include "membership/membership.h"
 
 namespace cranemux::ledger {
 
-enum class Kind : std::uint8_t { ask, grant, hand, news };
+enum class Kind : std::uint8_t { ask, grant, hand, news, throttle };
 struct Entry {
   Kind kind = Kind::ask;
   std::uint32_t plan = 0;  // its number in the settings
@@ -44,6 +48,7 @@
   bool flows = true;          // false: nothing leaves
   bool guarded = false;
   std::uint64_t seed = 0;
+  int aside = 0;  // trusting: so many members, the last ones, are set aside to keep ledgers
 };
 
 class Mail {
@@ -51,6 +56,10 @@
   Mail(const MailTerms& terms, Time now);
 
   void write(int to, const Entry& entry);
+  // Of a member set aside: all gatekeepers are to hear it, with whatever goes to them next, or soon.
+  void tell(const ThrottleWord& word) { words_.add(word); }
+  void tell(int to, const ThrottleWord& word);
+  std::uint64_t words_missed() const { return words_.missed(); }
   // Lets go what the budget allows, the longest waiting first.
   void post(Time now, const std::function<void(int to, std::string bytes)>& send);
   bool waits() const { return !posts_.empty(); }
@@ -77,12 +86,16 @@
     bool called = false;  // stands in `posts_`
   };
   void call(int to);
+  void call_gatekeepers(Time now);
   std::string message(int to, Time now);
   std::size_t most_head() const;
 
   const MailTerms terms_;
   std::vector<Peer> peers_;
+  const int tells_;  // the first so many members hear from it who is throttled
   std::deque<int> posts_;
+  ThrottleLog words_;
+  Time looked_{0};     // at who is to hear of them
   double stamps_ = 1;  // messages that may go now
   Time posted_;
   std::unique_ptr<Rights> rights_;
--- a/src/ledger/split.h
+++ b/src/ledger/split.h
@@ -45,11 +45,21 @@
   std::vector<Share> shares;
   const bool places = terms.open_limit > 0;
   double weights = 0, given = 0, d = places ? terms.open_limit : std::floor(ledger.level + kRounding);
-  for (const auto& [gatekeeper, claim] : ledger.claims) {
-    const double lacks = claim.wanted - static_cast<double>(claim.limit - claim.used);
-    if (places && now - claim.at < kPlaceHolds) d -= static_cast<double>(claim.limit);
-    if (lacks <= 0 || (gatekeeper != terms.asker && now > claim.held_until)) continue;
+  for (auto at = ledger.claims.begin(); places && at != ledger.claims.end(); ++at) {
+    if (now - at->second.at < kPlaceHolds) d -= static_cast<double>(at->second.limit);
+  }
+  if (terms.asker >= 0) ledger.stand(terms.asker);
+  // A ledger has hundreds of claims, and few that lack anything.
+  for (auto at = ledger.lacking.begin(); at != ledger.lacking.end();) {
+    const int gatekeeper = *at;
+    const auto& claim = ledger.claims.at(gatekeeper);
+    if (gatekeeper != terms.asker && now > claim.held_until) {
+      at = ledger.lacking.erase(at);  // until it asks again
+      continue;
+    }
+    ++at;
     weights += claim.weight;
+    const double lacks = claim.lacks();
     shares.push_back({random(), gatekeeper, places ? 1 : std::min(lacks, terms.most_units), lacks});
   }
   for (auto& share : shares) {
@@ -66,6 +76,7 @@
     if (share.units <= 0) continue;
     ledger.claims.at(share.gatekeeper).limit += std::llround(share.units);
     if (!places) ledger.take(share.units);
+    ledger.stand(share.gatekeeper);
     out.push_back(share.gatekeeper);
   }
   return out;
--- a/src/ledger/standing.h
+++ b/src/ledger/standing.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 
 #include "ledger/rights.h"
+#include "ledger/throttle.h"
 
 namespace cranemux::ledger {
 
@@ -41,10 +42,28 @@
   // The keeper's word; `share`: units of it that may be spent whether it is heard or not.
   void told(bool open, double share, Time now) {
     until_ = open ? now + kCounts : Time(-1);
+    if (open) throttled_until_ = Time(-1);
     unsaid_ = false;
     half_ = share / 2;
   }
   bool open(Time now) const { return now < until_; }
+  // A word to all (throttle.h): `part` of its requests, from 0 to 1, may go, the others not; 1: it is open.
+  void throttle(double part, Time now) {
+    part_ = part;
+    throttled_until_ = part < 1 ? now + ThrottleList::kCounts : Time(-1);
+    until_ = part < 1 ? Time(-1) : now + kCounts;
+  }
+  bool throttled(Time now) const { return now < throttled_until_; }
+  // `lot`: of a request, even from 0 to 1.
+  bool lets(double lot) const { return lot < part_; }
+  // Refused so: its keeper goes by what is asked for.
+  void turn_away(double units, Time now) {
+    turned_away_ += units;
+    gather(now);
+  }
+  double turned_away() const { return turned_away_; }  // units since the last report
+  // Is there nothing to ask, only to report when it is `due`?
+  bool reports(Time now) const { return open(now) || throttled(now); }
   // `level`: of the store of `burst` as this gatekeeper knows it; `heard`: the keeper has left no question
   // unanswered; `share`: what is left of it.
   bool covers(double units, double share, double level, double burst, bool heard, Time now) const {
@@ -52,21 +71,27 @@
   }
   // It was spent so, and this is left of the share.
   void spend(double share, Time now) {
-    if (!unsaid_) due_ = now + kGather;
-    unsaid_ = true;
-    if (share < half_) due_ = std::min(due_, now);
+    gather(now);
+    if (wants_word(share, now)) due_ = std::min(due_, now);
   }
   // Half of the share is used up: word is wanted, not only a report.
-  bool wants_word(double share) const { return share < half_; }
+  bool wants_word(double share, Time now) const { return share < half_ && !throttled(now); }
   Time due() const { return due_; }  // the report, or the question
-  void reported() { unsaid_ = false; }
+  void reported() {
+    unsaid_ = false;
+    turned_away_ = 0;
+  }
 
  private:
   static constexpr double kLeast = 0.5;  // of the store is left alone
   static constexpr Time kGather = std::chrono::seconds(1);
-  Time until_{-1}, due_{-1};
+  void gather(Time now) {
+    if (!unsaid_) due_ = now + kGather;
+    unsaid_ = true;
+  }
+  Time until_{-1}, due_{-1}, throttled_until_{-1};
   bool unsaid_ = false;
-  double half_ = 0;
+  double half_ = 0, part_ = 1, turned_away_ = 0;
 };
 
 }  // namespace cranemux::ledger
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -63,10 +63,10 @@
   EXPECT_EQ(standing.due(), seconds(3));
   standing.spend(5, milliseconds(2500));
   EXPECT_EQ(standing.due(), seconds(3));
-  EXPECT_FALSE(standing.wants_word(5));
+  EXPECT_FALSE(standing.wants_word(5, milliseconds(2500)));
   standing.spend(4, milliseconds(2600));
   EXPECT_EQ(standing.due(), milliseconds(2600));
-  EXPECT_TRUE(standing.wants_word(4));
+  EXPECT_TRUE(standing.wants_word(4, milliseconds(2600)));
   standing.reported();
   standing.told(true, 10, seconds(3));
   standing.spend(9, seconds(4));
--- /dev/null
+++ b/tests/throttle_test.cpp
@@ -0,0 +1,461 @@
+// Throttling by lot, where members are set aside to keep ledgers: its parts (RapidCheck), the share against
+// demand that changes, and the module with messages lost, forged and late.
+#include "ledger/throttle.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "cranemux/brain.h"
+#include "ledger/asks.h"
+#include "ledger/budget.h"
+#include "ledger/figures.h"
+#include "ledger/keeping.h"
+#include "ledger/mail.h"
+#include "ledger/split.h"
+#include "scale/hollow.h"
+
+namespace cranemux {
+namespace {
+
+using ledger::Throttle;
+using ledger::ThrottleList;
+using ledger::ThrottleLog;
+using ledger::Time;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+constexpr Nanos kMs = 1'000'000;
+
+// ---- parts ----
+
+// A store and who asks of it: words take effect after `late`, reports reach the keeper as late.
+struct Loop {
+  double rate, burst;
+  Time late = milliseconds(700);
+  Throttle throttle = {};
+  double level = burst, told = 1, let = 0, words = 0;
+  Time now{seconds(100)};
+  std::deque<std::pair<Time, double>> shares = {};            // on their way to the gatekeepers
+  std::deque<std::tuple<Time, double, double>> reports = {};  // asked for and let, to the keeper
+
+  void play(double demand, Time span) {
+    constexpr Time kStep = milliseconds(50);
+    for (const auto end = now + span; now < end; now += kStep) {
+      const double asked = demand * 0.05, goes = asked * told;
+      let += goes;
+      reports.emplace_back(now + late, asked, goes);
+      for (; !reports.empty() && std::get<0>(reports.front()) <= now; reports.pop_front()) {
+        throttle.asked_for(std::get<1>(reports.front()), now);
+        level -= std::get<2>(reports.front());
+      }
+      level = std::clamp(level + rate * 0.05, -burst / 4, burst);
+      if (const auto share = throttle.look(level, rate, burst, now)) {
+        ++words;
+        shares.emplace_back(now + late, *share / 100.0);
+      }
+      for (; !shares.empty() && shares.front().first <= now; shares.pop_front()) told = shares.front().second;
+    }
+  }
+};
+
+RC_GTEST_PROP(throttle, lets_through_what_fills_whatever_is_asked_for, ()) {
+  const double rate = std::exp(*rc::gen::inRange(0, 90) / 10.0), times = *rc::gen::inRange(15, 80) / 10.0;
+  Loop loop{rate, 2 * rate};
+  loop.play(rate * times, seconds(20));
+  const double before = loop.let;
+  loop.words = 0;
+  loop.play(rate * times, seconds(40));
+  const double part = (loop.let - before) / (40 * rate);
+  RC_ASSERT(part > 0.85);
+  RC_ASSERT(part < 1.12);
+  RC_ASSERT(loop.words <= 20);  // what stays as it is is hardly said again
+  // Once less is asked for than fills, nobody is refused for long.
+  loop.play(rate / 2, seconds(75));
+  RC_ASSERT(loop.told == 1);
+  RC_ASSERT(!loop.throttle.on());
+}
+
+RC_GTEST_PROP(throttle, says_nothing_of_who_stays_within_its_quota, ()) {
+  const double rate = std::exp(*rc::gen::inRange(0, 90) / 10.0);
+  Loop loop{rate, 2 * rate};
+  loop.play(rate * *rc::gen::inRange(1, 95) / 100, seconds(60));
+  RC_ASSERT(loop.words == 0);
+}
+
+TEST(throttle, goes_by_the_store_where_demand_changes) {
+  Loop loop{100, 200};
+  loop.play(30, seconds(10));
+  EXPECT_EQ(loop.told, 1);
+  const double before = loop.let;
+  loop.play(450, seconds(12));
+  EXPECT_LT(loop.told, 0.35);
+  EXPECT_LT(loop.let - before, 1.6 * (200 + 12 * 100));  // the store, what fills, and what came meanwhile
+}
+
+TEST(throttle, says_again_what_holds_before_it_is_forgotten) {
+  Loop loop{100, 200};
+  loop.play(300, seconds(30));
+  loop.words = 0;
+  loop.play(300, ThrottleList::kCounts);
+  EXPECT_GE(loop.words, 2);
+}
+
+// Each gatekeeper hears each word once and in order, however they are cut into messages; who is further
+// behind than is kept misses the oldest, and that is counted.
+RC_GTEST_PROP(throttle_log, is_heard_in_order_and_what_is_missed_is_counted, ()) {
+  ThrottleLog log(2);
+  std::uint32_t said = 0;
+  std::vector<std::uint32_t> heard[2];
+  const auto ride = [&](int to, std::size_t room) {
+    log.ride(to, room, 6, [&](const ledger::ThrottleWord& w) { heard[to].push_back(w.customer); });
+  };
+  for (int step = 0; step < 30; ++step) {
+    for (int n = *rc::gen::inRange(0, 900); n > 0; --n) log.add({0, ++said, 50});
+    ride(0, 6 * ThrottleLog::kKept);
+    ride(1, static_cast<std::size_t>(*rc::gen::inRange(0, 2000)));
+  }
+  while (log.behind(1)) ride(1, 250);
+  RC_ASSERT(heard[0].size() == said);
+  for (const auto& one : heard) RC_ASSERT(std::is_sorted(one.begin(), one.end()));
+  RC_ASSERT(heard[1].size() + log.missed() == said);
+  RC_ASSERT(!log.behind(0));
+}
+
+TEST(throttle_list, forgets_in_time_and_is_bounded) {
+  ThrottleList list;
+  list.heard(1, 40, seconds(10));
+  EXPECT_EQ(list.share(1, seconds(11)), 40);
+  EXPECT_EQ(list.share(2, seconds(11)), std::nullopt);
+  EXPECT_EQ(list.share(1, seconds(10) + ThrottleList::kCounts), std::nullopt);
+  list.heard(1, 100, seconds(12));
+  EXPECT_EQ(list.size(), 0U);
+  for (std::uint32_t c = 0; c < ThrottleList::kMost + 10; ++c) list.heard(c, 50, seconds(20));
+  EXPECT_EQ(list.size(), ThrottleList::kMost);
+  EXPECT_EQ(list.dropped(), 10U);
+  list.heard(5, 60, seconds(21));  // one that is there is still told
+  EXPECT_EQ(list.share(5, seconds(22)), 60);
+  for (std::size_t i = 0; i < 10 * ledger::kSweepCalls; ++i) list.forget(seconds(200));
+  EXPECT_EQ(list.size(), 0U);
+}
+
+RC_GTEST_PROP(sweep, goes_through_all_in_so_many_calls_and_no_call_through_all, ()) {
+  const auto size = *rc::gen::inRange<std::uint32_t>(0, 3000);
+  std::map<std::uint32_t, bool> map;
+  for (std::uint32_t i = 0; i < size; ++i) map[i * 7] = *rc::gen::arbitrary<bool>();
+  std::uint32_t from = 0;
+  std::map<std::uint32_t, int> looked;
+  bool shrinks = false;
+  for (const auto& item : map) shrinks = shrinks || item.second;
+  // Each call's part is of what is left then: where nothing goes, so many calls see all.
+  for (std::size_t call = 0; call < (shrinks ? 5 : 1) * ledger::kSweepCalls; ++call) {
+    std::size_t looks = 0;
+    ledger::erase_some(map, from, [&](const auto& item) {
+      ++looks;
+      ++looked[item.first];
+      return item.second;
+    });
+    RC_ASSERT(looks <= std::max<std::size_t>(ledger::kSweepWhole, size / ledger::kSweepCalls + 1));
+  }
+  RC_ASSERT(looked.size() == size);
+  for (const auto& item : map) RC_ASSERT(!item.second);
+}
+
+// The split looks at who lacks something only: the same as a walk through all claims, with the same draws.
+RC_GTEST_PROP(split, shares_out_as_if_it_walked_through_all_claims, ()) {
+  ledger::Ledger ledger{1, 0, 10, 40, -4};
+  ledger.level = 40;
+  std::mt19937_64 random(7);
+  Time now = seconds(100);
+  for (int step = 0; step < 40; ++step) {
+    const int from = *rc::gen::inRange(0, 12);
+    ledger::Ask ask;
+    ask.used = ledger.claims.contains(from) ? ledger.claims[from].limit : 0;
+    ask.wanted = *rc::gen::inRange(0, 6);
+    ask.weight = 1;
+    ask.hold = milliseconds(*rc::gen::inRange(0, 300));
+    now += milliseconds(*rc::gen::inRange(0, 100));
+    ledger.fill(now);
+    ledger.merge(from, ask, now);
+    std::set<int> lack;  // by a walk
+    const int asker = *rc::gen::arbitrary<bool>() ? from : -1;
+    for (const auto& [gatekeeper, claim] : ledger.claims) {
+      if (claim.lacks() > 0 && (gatekeeper == asker || now <= claim.held_until)) lack.insert(gatekeeper);
+    }
+    auto draws = random;
+    const auto given = ledger::split(ledger, {4, 0, asker}, now, random);
+    draws.discard(lack.size());
+    RC_ASSERT(draws == random);  // a draw for each that lacks, and no other
+    for (const int g : given) RC_ASSERT(lack.contains(g));
+  }
+}
+
+// ---- the module ----
+
+// Some gatekeepers, the last ones set aside, and the messages between them.
+class Tier {
+ public:
+  Tier(int gatekeepers, int aside) : aside_(aside) {
+    for (int i = 0; i < gatekeepers + aside; ++i) start(i, gatekeepers + aside);
+  }
+  int members() const { return static_cast<int>(brains_.size()); }
+  int keeper(const std::string& customer) const {
+    return ledger::keeper_at(ledger::hash_of(customer), 0, 0, 0, members() - aside_, members(), aside_);
+  }
+  void start(int i, int members) {
+    Settings s;
+    s.seed = 7 + static_cast<std::uint64_t>(i) + 100 * ++lives_;
+    s.gateways = members;
+    s.keepers = aside_;
+    s.index = i;
+    s.zone = "here";
+    s.classes = {{"look", 1500 * kMs, 5000 * kMs, 0, 1, Repeat::safe, RepeatScope::all, 0, false}};
+    s.plans = {{"rate", 10, 40, 0, 0, 0, 0, 1, 0, 1}};
+    s.peers = true;
+    s.peer_messages_per_s = 60;
+    s.max_attempts = 1;
+    const auto at = static_cast<std::size_t>(i);
+    at < brains_.size() ? void(brains_[at] = Brain(s)) : void(brains_.emplace_back(s));
+    ServerList list{ListScope::stored, {}};
+    for (int w = 0; w < 60; ++w)
+      list.servers.push_back({"w" + std::to_string(w), "here", 0, ServerState::running, 1, 0});
+    feed(i, {list});
+  }
+  void restart(int i) { start(i, members()); }
+
+  enum class Fate { sent, refused, waits };
+  Fate ask(int at, const std::string& customer = "someone") {
+    Request r;
+    r.id = std::to_string(++ids_);
+    r.klass = "look";
+    r.plan = "rate";
+    r.customer = customer;
+    r.budget = 5000 * kMs;
+    r.spread = members() - aside_;
+    const auto sent_before = sent[at], refused_before = refused[at];
+    feed(at, {r});
+    return sent[at] > sent_before ? Fate::sent : refused[at] > refused_before ? Fate::refused : Fate::waits;
+  }
+  void play(Nanos time) {
+    for (const auto end = now + time; now < end; now += 5 * kMs) {
+      for (auto mails = std::exchange(mail_, {}); const auto& m : mails) {
+        if (!lose || !lose(m.from, m.to)) feed(m.to, {PeerMessage{m.from, m.bytes}});
+      }
+      for (auto all = std::exchange(answers_, {}); const auto& [at, o] : all) feed(at, {o});
+      for (int i = 0; i < members(); ++i) {
+        if (timers_[i] <= now) feed(i, {Timer{1}});
+      }
+    }
+  }
+  // So many requests a second, spread over gatekeepers [from, to).
+  void press(double per_s, Nanos time, int from, int to, const std::string& customer = "someone") {
+    for (const auto end = now + time; now < end;) {
+      for (due_ += per_s * 0.02; due_ >= 1; due_ -= 1) ask(from + ids_ % (to - from), customer);
+      play(20 * kMs);
+    }
+  }
+  void feed(int at, const std::vector<Event>& events) {
+    std::vector<Action> actions;
+    brains_[static_cast<std::size_t>(at)].step(now, events, actions);
+    for (const auto& action : actions) {
+      if (const auto* timer = std::get_if<SetTimer>(&action)) timers_[at] = timer->at;
+      if (const auto* tell = std::get_if<Tell>(&action)) {
+        ++told[at];
+        mail_.push_back({at, tell->to, tell->bytes});
+      }
+      refused[at] += std::holds_alternative<Refuse>(action);
+      if (const auto* send = std::get_if<Send>(&action)) {
+        ++sent[at];
+        Outcome o;
+        o.request = send->request;
+        o.finished = true;
+        answers_.push_back({at, o});
+      }
+    }
+  }
+  int all_sent() const {
+    int out = 0;
+    for (const auto& [at, count] : sent) out += count;
+    return out;
+  }
+
+  Nanos now = 100'000 * kMs;
+  std::function<bool(int from, int to)> lose;
+  std::map<int, int> sent, refused, told;
+
+ private:
+  struct Message {
+    int from, to;
+    std::string bytes;
+  };
+  const int aside_;
+  std::vector<Brain> brains_;
+  std::uint64_t lives_ = 0;
+  int ids_ = 0;
+  double due_ = 0;
+  std::map<int, Nanos> timers_;
+  std::deque<Message> mail_;
+  std::deque<std::pair<int, Outcome>> answers_;
+};
+using Fate = Tier::Fate;
+
+TEST(throttled_tier, no_request_within_its_quota_waits_for_a_message) {
+  Tier tier(6, 2);
+  tier.play(100 * kMs);
+  for (int round = 0; round < 20; ++round) {
+    for (int g = 0; g < 6; ++g) EXPECT_EQ(tier.ask(g, "c" + std::to_string(round * 6 + g)), Fate::sent);
+    EXPECT_EQ(tier.ask(round % 6), Fate::sent);
+    tier.play(400 * kMs);
+  }
+}
+
+TEST(throttled_tier, who_asks_for_more_gets_its_quota_and_is_refused_at_once) {
+  Tier tier(6, 2);
+  tier.play(100 * kMs);
+  tier.press(50, 10'000 * kMs, 0, 6);  // five times its rate
+  const int before = tier.all_sent();
+  int waits = 0, refused = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const auto fate = tier.ask(i % 6);
+    waits += fate == Fate::waits;
+    refused += fate == Fate::refused;
+    tier.play(20 * kMs);
+  }
+  EXPECT_LE(waits, 10);
+  EXPECT_GT(refused, 500);
+  EXPECT_NEAR(tier.all_sent() - before, 10 * 20, 50);
+}
+
+TEST(throttled_tier, a_gatekeeper_that_has_never_met_the_customer_goes_by_the_word) {
+  Tier tier(6, 2);
+  tier.play(100 * kMs);
+  tier.press(80, 8'000 * kMs, 0, 5);
+  int sent = 0, waits = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto fate = tier.ask(5);
+    sent += fate == Fate::sent;
+    waits += fate == Fate::waits;
+    tier.play(5 * kMs);
+  }
+  EXPECT_EQ(waits, 0);
+  EXPECT_LT(sent, 40);
+  EXPECT_EQ(tier.ask(5, "another"), Fate::sent);
+}
+
+TEST(throttled_tier, a_lost_word_is_said_again_to_who_reports) {
+  Tier tier(3, 1);
+  tier.play(100 * kMs);
+  tier.press(80, 500 * kMs, 0, 3);
+  tier.lose = [](int from, int to) { return from == 3 && to == 2; };
+  tier.press(80, 8'000 * kMs, 0, 2);  // the third has heard nothing of it
+  tier.lose = nullptr;
+  tier.play(1500 * kMs);  // until it knows that it is heard again
+  ASSERT_EQ(tier.ask(2), Fate::sent);
+  tier.play(1600 * kMs);  // its report, and the answer
+  int refused = 0;
+  for (int i = 0; i < 60; ++i) refused += tier.ask(2) == Fate::refused;
+  EXPECT_GT(refused, 30);
+}
+
+TEST(throttled_tier, a_word_of_who_keeps_nothing_counts_for_nothing) {
+  Tier tier(4, 1);
+  tier.play(100 * kMs);
+  ledger::Mail forger({5, 1, 9, 256, 100, 5, true, false, 1, 1}, Time(tier.now));
+  forger.tell(0, {0, ledger::hash_of("someone"), 1});
+  std::string bytes;
+  forger.post(Time(tier.now), [&](int, std::string message) { bytes = std::move(message); });
+  ASSERT_FALSE(bytes.empty());
+  tier.feed(0, {PeerMessage{1, bytes}});
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(tier.ask(0), Fate::sent);
+  tier.feed(0, {PeerMessage{4, bytes}});  // the same from who is set aside
+  int refused = 0;
+  for (int i = 0; i < 10; ++i) refused += tier.ask(0) == Fate::refused;
+  EXPECT_GE(refused, 8);
+}
+
+TEST(throttled_tier, a_keeper_that_begins_anew_costs_a_store_at_most) {
+  Tier tier(6, 1);
+  tier.play(100 * kMs);
+  tier.press(50, 10'000 * kMs, 0, 6);
+  tier.restart(6);
+  const int before = tier.all_sent();
+  tier.press(50, 10'000 * kMs, 0, 6);
+  EXPECT_LE(tier.all_sent() - before, 10 * 10 + 40 + 50);  // what fills, a store, and one second of all
+  EXPECT_GE(tier.all_sent() - before, 10 * 10 - 20);
+}
+
+TEST(throttled_tier, cut_off_from_all_keepers_it_spends_its_even_share) {
+  Tier tier(4, 2);
+  tier.play(100 * kMs);
+  tier.press(8, 4'000 * kMs, 0, 4);
+  tier.lose = [](int from, int to) { return from == 0 || to == 0; };
+  tier.press(20, 4'000 * kMs, 0, 1);  // until it knows
+  const int before = tier.sent[0];
+  tier.press(20, 20'000 * kMs, 0, 1);
+  EXPECT_LE(tier.sent[0] - before, 10 * 20 / 4 + 15);
+  EXPECT_GE(tier.sent[0] - before, 10 * 20 / 4 - 15);
+}
+
+TEST(throttled_tier, a_quiet_gatekeeper_hears_from_all_keepers) {
+  Tier tier(4, 2);
+  tier.play(100 * kMs);
+  auto before = tier.told;
+  tier.play(10'000 * kMs);
+  for (const int keeper : {4, 5}) EXPECT_NEAR(tier.told[keeper] - before[keeper], 4 * 10, 10);
+  for (int g = 0; g < 4; ++g) EXPECT_EQ(tier.told[g], before[g]);
+  EXPECT_EQ(tier.ask(0), Fate::sent);
+}
+
+TEST(throttled_tier, all_members_set_aside_together_send_no_more_than_is_taken_in) {
+  for (const int gatekeepers : {3, 30, 470}) {
+    for (const int aside : {1, 3, 5}) {
+      const int members = gatekeepers + aside;
+      const double all = aside * ledger::messages_of(40, members - 1, members, aside);
+      EXPECT_LE(all / gatekeepers, 40);
+      EXPECT_GE(all / gatekeepers, 30);
+    }
+  }
+}
+
+// ---- a fleet ----
+
+scale::Scenario fleet(double factor) {
+  scale::Scenario s;
+  s.name = "throttled";
+  s.gatekeepers = static_cast<int>(16 * factor);
+  s.workers = s.gatekeepers * 2;
+  s.customers = s.gatekeepers * 40;
+  s.requests_per_s = s.gatekeepers * 150;
+  s.warm_s = 6;
+  s.seconds = 6;
+  s.work_ms = 5;
+  s.control_machines = 3;
+  return s;
+}
+std::map<std::string, double> figures(const scale::Scenario& s) {
+  std::map<std::string, double> out;
+  for (const auto& row : scale::play_hollow(s, 4)) out[row.measure] = row.value;
+  return out;
+}
+
+TEST(Hollow, RequestsWaitForNoMailAndQuotasHoldWhereMembersAreSetAside) {
+  const auto one = figures(fleet(1)), two = figures(fleet(2));
+  for (const auto& all : {one, two}) {
+    EXPECT_LT(all.at("held_p99"), 1.5);
+    EXPECT_LT(all.at("beyond"), 3);
+    EXPECT_LT(all.at("refused_with_half"), 12);
+    EXPECT_LT(all.at("bytes_in") + all.at("bytes_out"), 10'000);
+  }
+  EXPECT_LT(two.at("bytes_in") / one.at("bytes_in"),
+            2.2);  // by customers that press, of which there are twice
+  EXPECT_LT(two.at("bytes_out") / one.at("bytes_out"), 1.2);
+}
+
+}  // namespace
+}  // namespace cranemux
