--- a/scale/hollow.cpp
+++ b/scale/hollow.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <barrier>
 #include <cmath>
 #include <fstream>
@@ -475,6 +476,9 @@
   return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
 }
 
+// By Behaviour's order.
+constexpr std::array kBehaviours{"calm", "full", "heavy", "spiky"};
+
 // What customers got, by their perfect stores.
 struct Kept {
   double units = 0, beyond = 0, tries = 0, refused = 0, room = 0, half = 0;
@@ -554,12 +558,16 @@
   }
   std::stable_sort(spent.begin(), spent.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
   Kept kept, faulty;
+  std::array<double, kBehaviours.size()> room{};  // refused with room in all that counts, by behaviour
   for (const auto& one : spent) {
     const double now_s = seconds(one.at);
     const bool in_fault = std::any_of(s.faults.begin(), s.faults.end(), [&](const Fault& f) {
       return now_s >= f.at_s && now_s < f.at_s + f.for_s + kFaultCounts;
     });
     auto& store = stores[static_cast<std::size_t>(one.customer)];
+    const auto behaviour = customers[static_cast<std::size_t>(one.customer)].behaviour;
+    if (one.refused && counts_at(one.at))
+      room[static_cast<std::size_t>(behaviour)] += store.level(now_s) >= one.units;
     (in_fault ? faulty : kept).add(one, store, now_s, counts_at(one.at));
   }
   const auto add_kept = [&](const std::string& prefix, const Kept& k) {
@@ -569,6 +577,9 @@
     add(prefix + "refused_with_room", "percent of tries", 100 * k.room / tries);
     add(prefix + "refused_with_half", "percent of tries", 100 * k.half / tries);
   };
+  for (std::size_t i = 0; i < room.size(); ++i)
+    add(std::string("room_") + kBehaviours[i], "percent of tries",
+        100 * room[i] / std::max(1.0, kept.tries + faulty.tries));
   if (kept.tries > 0) add_kept("", kept);
   if (faulty.tries > 0) add_kept("fault_", faulty);
   return out;
