Call discovery within 6 s of a silence in tiers of any size, and say shares of throttling less often

Ruled out: leaving sooner (an empty line comes every 2 s), keeping 4 s (2.5 + 4 is over 6 without any answer). Change: after a silence the spread is what is left of 6 s, less 0.3 s for the answer: 3.15 s, so at most (G - 1) / 3.15 calls a second from 65 gatekeepers on (149 of 470) where all watches fall silent in one moment; nothing changes for smaller tiers' rates, nor for the agent of one's own. Test in virtual time at 30, 64, 300 and 470, which fails with again().

--- a/src/ledger/throttle.h
+++ b/src/ledger/throttle.h
@@ -64,9 +64,9 @@
   static constexpr int kLeastNews = 90;  // hundredths: no fewer need be told to begin with, nor keep it up
   static constexpr Time kShortest = std::chrono::seconds(2), kLongest = std::chrono::seconds(60);
   static constexpr double kGain = 1;
-  static constexpr double kMemory = 3;   // seconds
-  static constexpr double kNews = 0.25;  // of the share that was said, and beyond what is noise ...
-  static constexpr double kNoise = 0.8;  // ... of units that come by one to four
+  static constexpr double kMemory = 5;  // seconds
+  static constexpr double kNews = 0.4;  // of the share that was said, and beyond what is noise ...
+  static constexpr double kNoise = 1;   // ... of units that come by one to four
   static constexpr Time kLeast = std::chrono::milliseconds(750), kMost = std::chrono::seconds(5);
   static constexpr double kFills = 8;                       // units
   static constexpr Time kAgain = std::chrono::seconds(25);  // twice while ThrottleList keeps a word
--- a/src/resolver/pacing.cpp
+++ b/src/resolver/pacing.cpp
@@ -32,6 +32,12 @@
   return span / 2 + part_of(span / 2);
 }
 
+Pacing::Time Pacing::after_silence(bool good) {
+  const auto wait = again(good);
+  if (spread_ <= Time(0)) return wait;  // nobody else waits for this machine's own agent
+  return kFirst + part_of(std::min<Time>(spread_, kTold - patience_.silence - kAnswer - kFirst));
+}
+
 Pacing::Time Pacing::part_of(Time most) {
   const double part = static_cast<double>(random_() >> 11U) / static_cast<double>(1ULL << 53U);
   return Time(std::llround(part * static_cast<double>(most.count())));
--- a/src/resolver/pacing.h
+++ b/src/resolver/pacing.h
@@ -22,6 +22,8 @@
   // An empty line comes every 2 s while nothing changes. A watch that misses one is left: what it would bring
   // counts as told 6 s after it fell silent, and the calls after it may fail, too.
   static constexpr std::chrono::milliseconds kSilence{2500};
+  static constexpr std::chrono::milliseconds kTold{6000};   // by the protocol
+  static constexpr std::chrono::milliseconds kAnswer{300};  // what a call and its answer may take of it
 
   // How long a watch is waited for.
   struct Patience {
@@ -38,6 +40,11 @@
   Time moved() { return part_of(std::min<Time>(spread_, kMoved)); }
   // After a watch that has ended: a good one lasted, and brought something.
   Time again(bool good);
+  // After one that has fallen silent and was left for it: what it misses counts as told kTold after it fell
+  // silent, so the call and its answer have to come by then, also of the last of a tier whose watches all
+  // fell silent at once. That is 1.3 times the calls a second that start or end together, where there are
+  // more than 64 gatekeepers, and the same with fewer.
+  Time after_silence(bool good);
   Time longest() const;  // wait between two calls
   const Patience& patience() const { return patience_; }
   Time spread() const { return spread_; }
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -79,7 +79,7 @@
 net::awaitable<void> Resolver::watch() {
   co_await wait(pacing_.first());
   while (!stopped_) {
-    good_ = false;
+    good_ = silent_ = false;
     if (std::exchange(moved_, false)) intake_.moved();
     const auto begun = net::Clock::now();
     ++counters_.resolver_calls;
@@ -92,7 +92,8 @@
       continue;
     }
     ++counters_.resolver_breaks;
-    co_await wait(pacing_.again(good_ && net::Clock::now() - begun >= kLasts));
+    const bool good = good_ && net::Clock::now() - begun >= kLasts;
+    co_await wait(silent_ ? pacing_.after_silence(good) : pacing_.again(good));
   }
 }
 
@@ -103,11 +104,14 @@
 
 net::awaitable<void> Resolver::follow() {
   // Silence ends the watch: a connection to a machine that has vanished stays open.
-  const auto allow = [this](Pacing::Time silence) {
+  bool headed = false;
+  const auto allow = [this, &headed](Pacing::Time silence) {
     timer_.expires_after(silence);
-    timer_.async_wait([this](const boost::system::error_code& error) {
+    timer_.async_wait([this, opened = headed](const boost::system::error_code& error) {
+      if (error || timer_.expiry() > net::Clock::now()) return;
+      silent_ = opened;
       boost::system::error_code ignored;
-      if (!error && timer_.expiry() <= net::Clock::now()) socket_.close(ignored);
+      socket_.close(ignored);
     });
   };
   allow(pacing_.patience().head);
@@ -120,7 +124,7 @@
   if (failed) co_return;
   std::string in, text;
   ObjectReader objects(kMostLine);
-  bool headed = false, done = false;
+  bool done = false;
   while (!done) {
     if (co_await net::read_more(socket_, in, 16 * 1024) == 0) co_return;
     if (headed) allow(pacing_.patience().silence);
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -45,8 +45,9 @@
   std::chrono::nanoseconds to_steady_{};  // steady clock less Unix time, fixed at the start
   Intake intake_;
   bool stopped_ = false;
-  bool moved_ = false;  // discovery is elsewhere since the watch began
-  bool good_ = false;   // this watch has brought something
+  bool moved_ = false;   // discovery is elsewhere since the watch began
+  bool good_ = false;    // this watch has brought something
+  bool silent_ = false;  // it was left since nothing came any more
 };
 
 // A worker's start on the module's clock; 0 stays 0, 'long ago'.
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <queue>
 #include <vector>
@@ -166,6 +167,41 @@
   }
 }
 
+// All watches of a tier fall silent at once, in the moment after a line: the last gatekeeper is heard within
+// 6 s, and no second has more calls than the tier may make. Again and again: no more than that either.
+TEST(Pacing, TheLastOfATierIsHeardInTimeAfterASilence) {
+  for (const int count : {30, 64, 300, 470}) {
+    const double most = std::max(Pacing::kCalls, (count - 1) / 3.15);
+    for (const bool good : {true, false}) {
+      std::map<std::int64_t, int> calls;
+      Time last{};
+      for (int g = 0; g < count; ++g) {
+        Pacing pacing(count, static_cast<std::uint64_t>(g));
+        Time at{};
+        for (int round = 0; round < 12; ++round) {
+          const auto wait = pacing.patience().silence + pacing.after_silence(good);
+          last = std::max(last, wait);
+          at += wait;
+          ++calls[at / milliseconds(1000)];
+        }
+      }
+      EXPECT_LE(last + Pacing::kAnswer, seconds(6)) << count;
+      EXPECT_GE(last, seconds(4) - milliseconds(count < 64 ? 1000 : 0)) << count;  // spread as far as may be
+      for (const auto& [second, all] : calls)
+        EXPECT_LE(all, most + 4 * std::sqrt(most)) << count << ' ' << second;
+    }
+  }
+}
+
+// What one gatekeeper's own agent misses is asked for as after any other end.
+TEST(Pacing, AnAgentThatFallsSilentIsCalledAgainAsAfterAnyEnd) {
+  Settings settings;
+  settings.gateways = 470;
+  settings.drain_grace = Time(milliseconds(1000)).count();
+  auto one = pacing_of(settings), other = pacing_of(settings);
+  for (const bool good : {true, false, false, true}) EXPECT_EQ(one.after_silence(good), other.again(good));
+}
+
 TEST(Pacing, NobodyWaitsLongAtANewAddress) {
   for (const int count : {1, 4, 500}) {
     Pacing pacing(count, 3);
