--- a/testing/subscriber.cpp
+++ b/testing/subscriber.cpp
@@ -1,5 +1,6 @@
 #include "testing/subscriber.h"
 
+#include "http/http.h"
 #include "json/json.h"
 
 namespace cranemux::testing {
@@ -28,12 +29,21 @@
   co_await self->socket_.async_connect(at, net::kResult);
   co_await net::asio::async_write(self->socket_, net::asio::buffer(request), net::kResult);
   if (!reads) co_return;
-  while (co_await net::read_more(self->socket_, self->got_) > 0) {
+  while (co_await net::read_more(self->socket_, self->got_) > 0 && !self->refused()) {
   }
+  boost::system::error_code ignored;
+  self->socket_.close(ignored);
   self->ended_ = true;
   if (done) done(*self);
 }
 
+// A whole answer that opens no stream: its channel stays open for further requests, of which none will come.
+bool Subscriber::refused() const {
+  http::Message answer;
+  return status() != 0 && status() != 200 &&
+         http::parse(got_, http::Kind::response, answer).state == http::State::whole;
+}
+
 int Subscriber::status() const { return got_.size() < 12 ? 0 : std::atoi(got_.c_str() + 9); }
 
 std::size_t Subscriber::count(const std::string& what) const {
--- a/testing/subscriber.h
+++ b/testing/subscriber.h
@@ -19,7 +19,7 @@
 
 class Subscriber {
  public:
-  // `done`: at the end of the channel.
+  // `done`: at the end of the channel, or of an answer that opens no stream.
   static std::shared_ptr<Subscriber> open(Stage& stage, int port, const Subscription& asked,
                                           std::function<void(const Subscriber&)> done = {});
   const std::string& got() const { return got_; }  // with the head
@@ -31,6 +31,7 @@
   explicit Subscriber(Stage& stage) : socket_(stage.io()) {}
   static net::awaitable<void> talk(std::shared_ptr<Subscriber> self, int port, std::string request,
                                    bool reads, std::function<void(const Subscriber&)> done);
+  bool refused() const;
   net::tcp::socket socket_;
   std::string got_;
   bool ended_ = false;
--- a/tests/graphql_proof.cpp
+++ b/tests/graphql_proof.cpp
@@ -368,7 +368,7 @@
             << " units of " << may_come << " allowed; " << world.out_of_quota << " ended for want of quota, "
             << world.broken_off << " broken off by their server; most beginnings of one: " << most_begun
             << std::endl;
-  assert(came < 1.05 * may_come && came > 0.5 * should_come);
+  assert(came < 1.05 * may_come && came > 0.8 * should_come);
   assert(world.subscriptions > 30 && world.out_of_quota > 0 && world.broken_off > 0 && most_begun == 1);
   // Each gatekeeper asks for the text at least once, and not each time.
   assert(world.not_found >= kGatekeepers && world.not_found < world.operations / 20 &&
--- a/tests/throttle_test.cpp
+++ b/tests/throttle_test.cpp
@@ -245,7 +245,7 @@
   void play(Nanos time) {
     for (const auto end = now + time; now < end; now += 5 * kMs) {
       for (auto mails = std::exchange(mail_, {}); const auto& m : mails) {
-        if (!lose || !lose(m.from, m.to)) feed(m.to, {PeerMessage{m.from, m.bytes}});
+        if (!lose || !lose(m.from, m.to, m.bytes)) feed(m.to, {PeerMessage{m.from, m.bytes}});
       }
       for (auto all = std::exchange(answers_, {}); const auto& [at, o] : all) feed(at, {o});
       for (int i = 0; i < members(); ++i) {
@@ -286,7 +286,7 @@
   }
 
   Nanos now = 100'000 * kMs;
-  std::function<bool(int from, int to)> lose;
+  std::function<bool(int from, int to, const std::string& bytes)> lose;
   std::map<int, int> sent, refused, told;
 
  private:
@@ -351,14 +351,14 @@
 TEST(throttled_tier, a_lost_word_is_said_again_to_who_reports) {
   Tier tier(3, 1);
   tier.play(100 * kMs);
+  // The third hears signs of life, which are a head of 3 bytes each, and no word.
+  tier.lose = [](int from, int to, const std::string& bytes) {
+    return from == 3 && to == 2 && bytes.size() > 3;
+  };
+  tier.press(80, 12'000 * kMs, 0, 2);
   ASSERT_EQ(tier.ask(2), Fate::sent);
-  tier.play(1500 * kMs);
-  tier.lose = [](int from, int to) { return from == 3 && to == 2; };
-  tier.press(80, 8'000 * kMs, 0, 2);  // the third has heard nothing of it
   tier.lose = nullptr;
-  tier.press(80, 1'500 * kMs, 0, 2);  // until it knows that it is heard again; nothing is news meanwhile
-  ASSERT_EQ(tier.ask(2), Fate::sent);
-  tier.press(80, 1'600 * kMs, 0, 2);  // its report, and the answer
+  tier.press(80, 1'500 * kMs, 0, 2);  // its report, and the answer
   int refused = 0;
   for (int i = 0; i < 60; ++i) refused += tier.ask(2) == Fate::refused;
   EXPECT_GT(refused, 30);
@@ -395,7 +395,7 @@
   Tier tier(4, 2);
   tier.play(100 * kMs);
   tier.press(8, 4'000 * kMs, 0, 4);
-  tier.lose = [](int from, int to) { return from == 0 || to == 0; };
+  tier.lose = [](int from, int to, const std::string&) { return from == 0 || to == 0; };
   tier.press(20, 4'000 * kMs, 0, 1);  // until it knows
   const int before = tier.sent[0];
   tier.press(20, 20'000 * kMs, 0, 1);
