Turn from a keeper that gives no sign to the next, which goes on from the share; go by the plan that requests name

A throttled customer's gatekeepers report and ask nothing, and only questions that stay unanswered passed a keeper over (Brain::seek): its last share stood for the 60 s of a word, whatever it was at that moment. And a keeper that takes over knew no share, so it told all to go freely until its store was low. Change: members set aside give a sign each second; one that gave none for 3 s keeps nothing (Mail::silent, Brain::keeper_of). A report names the share that it goes by, and its level as pressed; a keeper that has opened that ledger within 3 s goes on from there (Throttle::adopt).

By the protocol X-Tier names the customer's plan: it goes by what its requests name, at gatekeeper and keeper, and wins nothing by it: what is left stays, up to the new store; nothing is left where units become attempts.

The tier in virtual time of throttle_test moves to testing/small_tier.h.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -175,10 +175,13 @@
   }
 
   void open_account(Account& a, const Request& request) {
+    const auto* const before = a.plan;
+    if (before && s_.guarded) return;  // by its first plan, until it is forgotten
+    if (before) fill(a);
     for (const auto& plan : plans_) {
       if (plan.name == request.plan) a.plan = &plan;
     }
-    if (!a.plan) return;  // a plan that the settings do not name has no quota: refused
+    if (a.plan == before) return;  // a plan that the settings do not name has no quota: refused
     a.hash = ledger::hash_of(request.customer);
     a.first = std::clamp(request.first, 0, s_.gateways - 1);
     a.spread = std::clamp(request.spread, 1, s_.gateways);
@@ -186,6 +189,7 @@
       a.parts = ledger::parts_of(a.plan->rate, a.plan->burst, s_.most_units,
                                  ledger::kMailShare * s_.peer_messages_per_s, a.spread);
     a.part = s_.index % a.parts;
+    if (before) return ledger::go_by_plan(a);
     a.filled = started_at_;
     if (s_.guarded) return;
     a.level = a.sure = a.left = a.plan->burst;  // until a keeper tells more
@@ -230,11 +234,7 @@
 
   // Where a plan bounds both, attempts out at once are bounded by even parts: no word of the others is in
   // time for attempts that last as long as a message.
-  bool has_place(const Account& a) const {
-    if (a.plan->open_limit <= 0 || a.plan->rate <= 0) return true;
-    const int place = std::min((s_.index - a.first + s_.gateways) % s_.gateways, a.spread - 1);
-    return a.open < ledger::even_part(a.plan->open_limit, place, a.spread);
-  }
+  bool has_place(const Account& a) const { return ledger::has_place(a, s_.index, s_.gateways); }
 
   // An even share of D, while word of it is fresh, is spent at once; else what a keeper has granted.
   bool has_credit(const Account& a, const Job& job) const {
@@ -307,7 +307,7 @@
     job.hold_until = std::min(now_ + std::min(kHoldBound, hold), job.goal);
     job.account = ledger::hash_of(request.customer);
     auto& a = accounts_[job.account];
-    if (!a.plan) open_account(a, request);
+    if (!a.plan || a.plan->name != request.plan) open_account(a, request);
     auto [at, fresh] = jobs_.try_emplace(request.id, std::move(job));
     if (!fresh) return;
     // Past its aim a request may earn nothing; a credit is better kept for one that can.
@@ -458,7 +458,7 @@
     if (s_.guarded) return rights().keeper(a.hash);
     for (int rank = 0; rank < std::min(ledger::kKeepers, s_.keepers > 0 ? s_.keepers : a.spread); ++rank) {
       const int g = ledger::keeper_at(a.hash, a.part, rank, a.first, a.spread, s_.gateways, s_.keepers);
-      if (now_ >= shunned_until_[static_cast<std::size_t>(g)]) return g;
+      if (now_ >= shunned_until_[static_cast<std::size_t>(g)] && !mail().silent(g, time())) return g;
     }
     return -1;
   }
@@ -532,8 +532,9 @@
     if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
       ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
     }
-    const bool told = ask.report && (s_.keepers == 0 || ask.throttled != ledger.throttle.on());
-    if (ledger.merge(from, ask, time())) share_out(ledger, ask.report ? -1 : from, told ? from : -1);
+    if (!ledger.merge(from, ask, time())) return;
+    const bool told = ask.report && (s_.keepers == 0 || (ask.share < ledger::kAll) != ledger.throttle.on());
+    share_out(ledger, ask.report ? -1 : from, told ? from : -1);
   }
 
   // Without the right to keep: the asking gateway may turn to its part.
--- a/src/ledger/account.h
+++ b/src/ledger/account.h
@@ -7,6 +7,7 @@
 
 #include "cranemux/brain.h"
 #include "ledger/ledger.h"
+#include "ledger/split.h"
 #include "ledger/standing.h"
 
 namespace cranemux::ledger {
@@ -38,6 +39,24 @@
   Spender spender;       // where quotas are guarded: what stands in for `limit`
 };
 
+// Its requests name another plan from here on. Nothing is won by it: what is left stays, up to the new store,
+// and what was granted by the plan before is gone. `a.plan` is the new one.
+inline void go_by_plan(Account& a) {
+  for (double* const left : {&a.level, &a.sure, &a.left, &a.lend}) *left = std::min(*left, a.plan->burst);
+  a.limit = a.plan->rate > 0 ? a.total : 0;
+  a.answered = std::min(a.answered, a.asked);  // an even share comes with the next answer
+  a.standing = {};
+  ++a.turn;
+}
+
+// Is there a place for one more of its attempts at gatekeeper `self` of `members`? Only where its plan bounds
+// both its rate and its attempts: by even parts.
+inline bool has_place(const Account& a, int self, int members) {
+  if (a.plan->open_limit <= 0 || a.plan->rate <= 0) return true;
+  const int place = std::min((self - a.first + members) % members, a.spread - 1);
+  return a.open < even_part(a.plan->open_limit, place, a.spread);
+}
+
 // What its customer may yet use, as far as is known here; nothing where its plan has no rate.
 inline std::optional<Allowance> allowance_of(const Account& a, Nanos now) {
   if (!a.plan || a.plan->rate <= 0) return std::nullopt;
--- a/src/ledger/asks.h
+++ b/src/ledger/asks.h
@@ -15,8 +15,9 @@
 constexpr Time kHoldStep = std::chrono::milliseconds(10);  // on the wire
 constexpr std::uint64_t kSaneFigure = 1'000'000'000;       // an entry that says more is damaged
 
+constexpr std::uint64_t kPressedLevel = 25;  // hundredths, as Throttle keeps it
 // The last figure of a question or report.
-constexpr std::uint64_t kQuestion = 0, kReport = 1, kThrottledReport = 2;
+constexpr std::uint64_t kQuestion = 0, kReport = 1, kThrottledReport = 2;  // and the share in hundredths
 
 inline bool sane(const Entry& entry) {
   const auto& v = entry.figures;
@@ -39,7 +40,8 @@
   out.hold = kHoldStep * std::min<std::int64_t>(figure(5), 1000);
   out.owed = std::min(out.used, figure(7));
   out.report = !guarded && figure(8) > 0;
-  out.throttled = out.report && figure(8) == kThrottledReport;
+  if (out.report && entry.figures[8] >= kThrottledReport)
+    out.share = static_cast<int>(std::min<std::uint64_t>(entry.figures[8] - kThrottledReport, kAll));
   if (out.report) out.turned_away = static_cast<double>(std::exchange(out.wanted, 0));
   return out;
 }
@@ -58,15 +60,21 @@
   const auto number = guarded ? a.spender.credit.ask(used, static_cast<std::int64_t>(wanted), now) : a.turn;
   const auto hold = std::max<Nanos>(0, a.hold_until - now.count()) / kHoldStep.count();
   const auto owed = places || guarded ? 0 : std::max<std::int64_t>(0, a.total - a.limit);
-  const auto last = !report ? kQuestion : a.standing.throttled(now) ? kThrottledReport : kReport;
+  const bool throttled = a.standing.throttled(now);
+  const auto last = !report     ? kQuestion
+                    : throttled ? kThrottledReport + whole(kAll * a.standing.part())
+                                : kReport;
+  // Nobody has told the level of a store that presses: a keeper that knows nothing takes it for low.
+  const std::uint64_t most = throttled ? kPressedLevel : kAll;
+  const auto level = std::min(told_level(a.plan->burst, a.level), most);
   a.standing.reported();
   if (report) a.limit = std::max(a.limit, a.total);
   return {Kind::ask,
           plan,
           a.hash,
-          {static_cast<std::uint64_t>(used), told_level(a.plan->burst, a.level),
-           whole(a.held_weight * kWeightSteps), wanted, number, static_cast<std::uint64_t>(hold),
-           static_cast<std::uint64_t>(a.parts), static_cast<std::uint64_t>(owed), last}};
+          {static_cast<std::uint64_t>(used), level, whole(a.held_weight * kWeightSteps), wanted, number,
+           static_cast<std::uint64_t>(hold), static_cast<std::uint64_t>(a.parts),
+           static_cast<std::uint64_t>(owed), last}};
 }
 
 }  // namespace cranemux::ledger
--- a/src/ledger/keeping.h
+++ b/src/ledger/keeping.h
@@ -9,11 +9,11 @@
 constexpr int kKeepers = 3;  // of a part of a ledger: its keeper and those that stand in for it, in turn
 
 // Is `member` one of the `aside` last ones, that keep ledgers and serve nobody?
-inline bool set_aside(int member, int members, int aside) { return member >= members - aside; }
+inline bool set_aside(int member, int members, int aside) { return aside > 0 && member >= members - aside; }
 
 // Members that hear from `member` who is throttled: all gatekeepers, where it is set aside.
 inline int told_by(int member, int members, int aside) {
-  return aside > 0 && set_aside(member, members, aside) ? members - aside : 0;
+  return set_aside(member, members, aside) ? members - aside : 0;
 }
 
 // `rank`: 0 the keeper, then those that stand in. `first`, `spread`: the customer's set, counted round.
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -36,7 +36,7 @@
   std::int64_t owed = 0;     // of `used`: beyond what its last keeper had granted
   Time hold{0};              // what it holds without a credit is refused after so long
   bool report = false;       // nobody waits for an answer
-  bool throttled = false;    // of reports: who sends it goes by a word of the keeper
+  int share = kAll;          // of reports: that who sends it goes by, by a word of a keeper
   double turned_away = 0;    // units, since the last report, by that word
 };
 
@@ -49,6 +49,9 @@
   double lacks() const { return wanted - static_cast<double>(limit - used); }
 };
 
+constexpr Time kAdopts =
+    std::chrono::seconds(3);  // so long all who keep to a share may take to turn to a new keeper
+
 struct Ledger {
   std::uint32_t customer = 0, plan = 0;  // the plan's number in the settings
   double rate = 0, burst = 0;            // of the plan, or of one of equal parts of it
@@ -86,6 +89,7 @@
     const bool known = lives && ask.turn == claim.turn;
     if (known && ask.number != 0 && static_cast<std::int32_t>(ask.number - claim.number) < 0) return false;
     const auto more = known ? ask.used - claim.used : ask.owed;
+    if (throttles && now - opened < kAdopts) throttle.adopt(ask.share, now);
     if (throttles)
       throttle.asked_for(ask.turned_away + static_cast<double>(std::max<std::int64_t>(0, more)), now);
     // What an earlier life may still have used stays taken: nobody can say that it has not.
@@ -97,6 +101,23 @@
     stand(from);
     return true;
   }
+  // Its customer names another plan. Nothing is won by it: what is left stays, up to the new store; none
+  // where one of both bounds attempts, which are no units.
+  void go_by(const Ledger& other, Time now) {
+    fill(now);
+    const bool units = rate > 0 && other.rate > 0;
+    plan = other.plan;
+    rate = other.rate;
+    burst = other.burst;
+    debt = other.debt;
+    parts = other.parts;
+    level = units ? std::min(level, burst) : 0;
+    slack = {};
+    throttle = {};
+    if (units) return;
+    claims.clear();
+    lacking.clear();
+  }
   // Whether that gatekeeper lacks something has changed, or may have.
   void stand(int gatekeeper) {
     const auto at = claims.find(gatekeeper);
@@ -221,6 +242,7 @@
   Ledger& open(const Ledger& fresh, Time now) {
     auto [at, made] = all_.try_emplace(fresh.customer, fresh);
     auto& ledger = at->second;
+    if (!made && !rights_ && ledger.plan != fresh.plan) ledger.go_by(fresh, now);
     if (!made) return ledger;
     ledger.level = rights_ ? 0 : fresh.burst;
     if (rights_) ledger.debt = kAllPaidBack;
--- a/src/ledger/mail.cpp
+++ b/src/ledger/mail.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t kHead = 3, kEntry = 5, kWord = kEntry + 1;
 constexpr int kFigures[2][4] = {{9, 6, 1, -1}, {8, 6, 2, -1}};  // by code; -1: there is none
 constexpr Time kWordsGather = std::chrono::milliseconds(250);   // words of who is throttled, for one datagram
-constexpr Time kSigns = std::chrono::seconds(1);  // a member set aside is heard at least so often
+constexpr Time kSigns = std::chrono::seconds(1);   // a member set aside is heard at least so often
+constexpr Time kSilent = std::chrono::seconds(3);  // without a sign: it is gone, or cut off from here
 constexpr Time kLookEvery = std::chrono::milliseconds(10);
 
 unsigned code_of(Kind kind) { return static_cast<unsigned>(kind == Kind::throttle ? Kind::hand : kind); }
@@ -46,6 +47,7 @@
       tells_(terms.guarded ? 0 : told_by(terms.self, terms.members, terms.aside)),
       words_(tells_),
       posted_(now) {
+  for (auto& peer : peers_) peer.heard = now;
   // Not all at once, also where all have started together.
   std::mt19937_64 random(terms.seed);
   for (int to = 0; to < tells_; ++to)
@@ -103,6 +105,11 @@
   return out;
 }
 
+bool Mail::silent(int member, Time now) const {
+  return !terms_.guarded && set_aside(member, terms_.members, terms_.aside) && member != terms_.self &&
+         now - peers_[static_cast<std::size_t>(member)].heard > kSilent;
+}
+
 void Mail::call_gatekeepers(Time now) {
   if (tells_ == 0 || !terms_.flows || now - looked_ < kLookEvery) return;
   looked_ = now;
@@ -128,6 +135,7 @@
 std::optional<Mail::Letter> Mail::read(int from, std::string_view in, Time now) {
   if (from < 0 || from >= terms_.members || from == terms_.self || in.size() < kHead) return std::nullopt;
   if (static_cast<std::uint8_t>(in[0]) != (terms_.guarded ? kGuarded : kTrusting)) return std::nullopt;
+  peers_[static_cast<std::size_t>(from)].heard = now;
   Letter out;
   out.life = static_cast<std::uint32_t>(fixed(in, 1, 2));
   std::size_t at = kHead;
--- a/src/ledger/mail.h
+++ b/src/ledger/mail.h
@@ -5,8 +5,8 @@
 // are guarded more follows (frame.h). An entry: kind and plan (1: two bits and six), customer (4, little
 // endian), and figures as varints:
 //   ask    used, level, weight, wanted, number (guarded) or turn, hold in 10 ms, parts of the ledger, owed;
-//          trusting: 1 for a report only, 2 for one by a word of who is throttled; of reports wanted is what
-//          was refused by that word, in units since the last one
+//          trusting: 0, 1 for a report only, from 2 on for one by a word of who is throttled: 2 and the share
+//          in hundredths; of reports wanted is what was refused by that word, in units since the last one
 //   grant  life of who asked, limit, level, number or turn, pause in 50 ms; guarded: whether the keeper has
 //          the right; trusting: whether the store is far from empty
 //   hand   level, number; guarded only: a ledger on its way to its keeper
@@ -63,6 +63,8 @@
   // Lets go what the budget allows, the longest waiting first.
   void post(Time now, const std::function<void(int to, std::string bytes)>& send);
   bool waits() const { return !posts_.empty(); }
+  // A member set aside that says nothing, not even its signs: it keeps no ledger now.
+  bool silent(int member, Time now) const;
 
   struct Letter {
     std::uint32_t life = 0;  // of its sender; guarded: with how often that one has begun, in the upper bits
@@ -82,7 +84,7 @@
  private:
   struct Peer {
     std::string entries;
-    Time posted{-1};
+    Time posted{-1}, heard{0};
     bool called = false;  // stands in `posts_`
   };
   void call(int to);
--- a/src/ledger/standing.h
+++ b/src/ledger/standing.h
@@ -54,6 +54,7 @@
     until_ = part < 1 ? Time(-1) : now + kCounts;
   }
   bool throttled(Time now) const { return now < throttled_until_; }
+  double part() const { return part_; }
   // `lot`: of a request, even from 0 to 1.
   bool lets(double lot) const { return lot < part_; }
   // Refused so: its keeper goes by what is asked for.
--- a/src/ledger/throttle.h
+++ b/src/ledger/throttle.h
@@ -33,6 +33,12 @@
     pass(now);
     demand_ += units / kMemory;
   }
+  // As a keeper that has just begun to keep it: a gatekeeper goes by `share`, which another keeper has told.
+  void adopt(int share, Time now) {
+    if (on() || share >= kAll) return;
+    say(share, now);
+    on_until_ = now + holds_;
+  }
   // The share that all are to be told, where it is news.
   std::optional<int> look(double level, double rate, double burst, Time now) {
     pass(now);
--- a/tests/throttle_test.cpp
+++ b/tests/throttle_test.cpp
@@ -21,6 +21,7 @@
 #include "ledger/mail.h"
 #include "ledger/split.h"
 #include "scale/hollow.h"
+#include "testing/small_tier.h"
 
 namespace cranemux {
 namespace {
@@ -198,115 +199,11 @@
 
 // ---- the module ----
 
-// Some gatekeepers, the last ones set aside, and the messages between them.
-class Tier {
- public:
-  Tier(int gatekeepers, int aside) : aside_(aside) {
-    for (int i = 0; i < gatekeepers + aside; ++i) start(i, gatekeepers + aside);
-  }
-  int members() const { return static_cast<int>(brains_.size()); }
-  int keeper(const std::string& customer) const {
-    return ledger::keeper_at(ledger::hash_of(customer), 0, 0, 0, members() - aside_, members(), aside_);
-  }
-  void start(int i, int members) {
-    Settings s;
-    s.seed = 7 + static_cast<std::uint64_t>(i) + 100 * ++lives_;
-    s.gateways = members;
-    s.keepers = aside_;
-    s.index = i;
-    s.zone = "here";
-    s.classes = {{"look", 1500 * kMs, 5000 * kMs, 0, 1, Repeat::safe, RepeatScope::all, 0, false}};
-    s.plans = {{"rate", 10, 40, 0, 0, 0, 0, 1, 0, 1}};
-    s.peers = true;
-    s.peer_messages_per_s = 60;
-    s.max_attempts = 1;
-    const auto at = static_cast<std::size_t>(i);
-    at < brains_.size() ? void(brains_[at] = Brain(s)) : void(brains_.emplace_back(s));
-    ServerList list{ListScope::stored, {}};
-    for (int w = 0; w < 60; ++w)
-      list.servers.push_back({"w" + std::to_string(w), "here", 0, ServerState::running, 1, 0});
-    feed(i, {list});
-  }
-  void restart(int i) { start(i, members()); }
-
-  enum class Fate { sent, refused, waits };
-  Fate ask(int at, const std::string& customer = "someone") {
-    Request r;
-    r.id = std::to_string(++ids_);
-    r.klass = "look";
-    r.plan = "rate";
-    r.customer = customer;
-    r.budget = 5000 * kMs;
-    r.spread = members() - aside_;
-    const auto sent_before = sent[at], refused_before = refused[at];
-    feed(at, {r});
-    return sent[at] > sent_before ? Fate::sent : refused[at] > refused_before ? Fate::refused : Fate::waits;
-  }
-  void play(Nanos time) {
-    for (const auto end = now + time; now < end; now += 5 * kMs) {
-      for (auto mails = std::exchange(mail_, {}); const auto& m : mails) {
-        if (!lose || !lose(m.from, m.to, m.bytes)) feed(m.to, {PeerMessage{m.from, m.bytes}});
-      }
-      for (auto all = std::exchange(answers_, {}); const auto& [at, o] : all) feed(at, {o});
-      for (int i = 0; i < members(); ++i) {
-        if (timers_[i] <= now) feed(i, {Timer{1}});
-      }
-    }
-  }
-  // So many requests a second, spread over gatekeepers [from, to).
-  void press(double per_s, Nanos time, int from, int to, const std::string& customer = "someone") {
-    for (const auto end = now + time; now < end;) {
-      for (due_ += per_s * 0.02; due_ >= 1; due_ -= 1) ask(from + ids_ % (to - from), customer);
-      play(20 * kMs);
-    }
-  }
-  void feed(int at, const std::vector<Event>& events) {
-    std::vector<Action> actions;
-    brains_[static_cast<std::size_t>(at)].step(now, events, actions);
-    for (const auto& action : actions) {
-      if (const auto* timer = std::get_if<SetTimer>(&action)) timers_[at] = timer->at;
-      if (const auto* tell = std::get_if<Tell>(&action)) {
-        ++told[at];
-        mail_.push_back({at, tell->to, tell->bytes});
-      }
-      refused[at] += std::holds_alternative<Refuse>(action);
-      if (const auto* send = std::get_if<Send>(&action)) {
-        ++sent[at];
-        Outcome o;
-        o.request = send->request;
-        o.finished = true;
-        answers_.push_back({at, o});
-      }
-    }
-  }
-  int all_sent() const {
-    int out = 0;
-    for (const auto& [at, count] : sent) out += count;
-    return out;
-  }
-
-  Nanos now = 100'000 * kMs;
-  std::function<bool(int from, int to, const std::string& bytes)> lose;
-  std::map<int, int> sent, refused, told;
-
- private:
-  struct Message {
-    int from, to;
-    std::string bytes;
-  };
-  const int aside_;
-  std::vector<Brain> brains_;
-  std::uint64_t lives_ = 0;
-  int ids_ = 0;
-  double due_ = 0;
-  std::map<int, Nanos> timers_;
-  std::deque<Message> mail_;
-  std::deque<std::pair<int, Outcome>> answers_;
-};
-using Fate = Tier::Fate;
+using testing::SmallTier;
+using Fate = SmallTier::Fate;
 
 TEST(throttled_tier, no_request_within_its_quota_waits_for_a_message) {
-  Tier tier(6, 2);
+  SmallTier tier(6, 2);
   tier.play(100 * kMs);
   for (int round = 0; round < 20; ++round) {
     for (int g = 0; g < 6; ++g) EXPECT_EQ(tier.ask(g, "c" + std::to_string(round * 6 + g)), Fate::sent);
@@ -316,7 +213,7 @@
 }
 
 TEST(throttled_tier, who_asks_for_more_gets_its_quota_and_is_refused_at_once) {
-  Tier tier(6, 2);
+  SmallTier tier(6, 2);
   tier.play(100 * kMs);
   tier.press(50, 10'000 * kMs, 0, 6);  // five times its rate
   const int before = tier.all_sent();
@@ -333,7 +230,7 @@
 }
 
 TEST(throttled_tier, a_gatekeeper_that_has_never_met_the_customer_goes_by_the_word) {
-  Tier tier(6, 2);
+  SmallTier tier(6, 2);
   tier.play(100 * kMs);
   tier.press(80, 8'000 * kMs, 0, 5);
   int sent = 0, waits = 0;
@@ -349,7 +246,7 @@
 }
 
 TEST(throttled_tier, a_lost_word_is_said_again_to_who_reports) {
-  Tier tier(3, 1);
+  SmallTier tier(3, 1);
   tier.play(100 * kMs);
   // The third hears signs of life, which are a head of 3 bytes each, and no word.
   tier.lose = [](int from, int to, const std::string& bytes) {
@@ -365,7 +262,7 @@
 }
 
 TEST(throttled_tier, a_word_of_who_keeps_nothing_counts_for_nothing) {
-  Tier tier(4, 1);
+  SmallTier tier(4, 1);
   tier.play(100 * kMs);
   ledger::Mail forger({5, 1, 9, 256, 100, 5, true, false, 1, 1}, Time(tier.now));
   forger.tell(0, {0, ledger::hash_of("someone"), 1});
@@ -381,7 +278,7 @@
 }
 
 TEST(throttled_tier, a_keeper_that_begins_anew_costs_a_store_at_most) {
-  Tier tier(6, 1);
+  SmallTier tier(6, 1);
   tier.play(100 * kMs);
   tier.press(50, 10'000 * kMs, 0, 6);
   tier.restart(6);
@@ -391,8 +288,27 @@
   EXPECT_GE(tier.all_sent() - before, 10 * 10 - 20);
 }
 
+// Whoever goes by a share of a keeper that says nothing any more turns to the next, which goes on from there:
+// no second store, and no share that stays as it was.
+TEST(throttled_tier, a_keeper_that_dies_costs_no_second_store) {
+  SmallTier tier(3, 2);
+  tier.play(100 * kMs);
+  tier.press(50, 10'000 * kMs, 0, 3);
+  const int dead = tier.keeper("someone");
+  tier.lose = [dead](int from, int to, const std::string&) { return from == dead || to == dead; };
+  int before = tier.all_sent();
+  tier.press(50, 6'000 * kMs, 0, 3);  // found out, and taken over
+  EXPECT_LE(tier.all_sent() - before, 10 * 6 * 1.5);
+  for (int round = 0; round < 5; ++round) {
+    before = tier.all_sent();
+    tier.press(30.0 + 15 * round, 5'000 * kMs, 0, 3);  // asked for more and more
+    EXPECT_LE(tier.all_sent() - before, 10 * 5 * 1.5) << round;
+    EXPECT_GE(tier.all_sent() - before, 10 * 5 * 0.5) << round;
+  }
+}
+
 TEST(throttled_tier, cut_off_from_all_keepers_it_spends_its_even_share) {
-  Tier tier(4, 2);
+  SmallTier tier(4, 2);
   tier.play(100 * kMs);
   tier.press(8, 4'000 * kMs, 0, 4);
   tier.lose = [](int from, int to, const std::string&) { return from == 0 || to == 0; };
@@ -404,7 +320,7 @@
 }
 
 TEST(throttled_tier, a_quiet_gatekeeper_hears_from_all_keepers) {
-  Tier tier(4, 2);
+  SmallTier tier(4, 2);
   tier.play(100 * kMs);
   auto before = tier.told;
   tier.play(10'000 * kMs);
