--- a/src/ledger/mail.h
+++ b/src/ledger/mail.h
@@ -59,7 +59,6 @@
   // Of a member set aside: all gatekeepers are to hear it, with whatever goes to them next, or soon.
   void tell(const ThrottleWord& word) { words_.add(word); }
   void tell(int to, const ThrottleWord& word);
-  std::uint64_t words_missed() const { return words_.missed(); }
   // Lets go what the budget allows, the longest waiting first.
   void post(Time now, const std::function<void(int to, std::string bytes)>& send);
   bool waits() const { return !posts_.empty(); }
