Count the least told level wherever a gatekeeper comes from another ledger, so that no second bucket is spent

What callers saw: a customer far over its quota was served from two full buckets, 1.6 to 2.6 times its quota for seconds, each time its quota leader was gone and when it was back.

Cause: a ledger fills by the clock whether it is the one that is asked or not. A replica's filled while the leader's was asked, the leader's while it was cut off or stalled; the least told level counted only in the first second of a ledger's life, and only for gatekeepers that had no claim in it. Ruled out: borrowing (used up at once), two lives of one leader. Change: Ledger::knows says whether all of a gatekeeper's asks about the customer have been heard; where not, the least told level counts, at any time (kYoung is gone). Levels of another part are told as unknown. At the end of an isolation the even share that is left, times the spread, tells how much of the whole is. Why it holds: a told level is never under the truth by more than own grants that are not spent yet, so nobody within its quota goes short (recovery.a_calm_customer_...); messages of an earlier life change nothing (Ledger.MailOfALifeLongGoneGivesNothingBack).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,7 +59,6 @@
 constexpr double kHedgeShare = 0.08;                      // second copies for each first attempt, at most
 constexpr Nanos kRateWindow = 4 * kSecond;                // memory of the own rate of answers
 constexpr double kColdTurn = 0.01;  // a turn at a cold server goes before any other: it is gone if not used
-constexpr Nanos kYoung = kSecond;   // a ledger takes told levels for this long
 constexpr double kHolding = 0.25;   // of a set: gateways that hold requests of a customer at once
 constexpr Nanos kForget = 60 * kSecond;     // what nobody has asked about for so long may be forgotten ...
 constexpr Nanos kRemember = 300 * kSecond;  // ... or for so long, while it is not too many
@@ -219,6 +218,8 @@
     // and somewhere between two requests, so that all together spend at the plan's rate.
     if (alone() && !a.alone && a.plan->burst > 0)
       a.level = std::min(a.sure / a.plan->burst * most + drawn(), most);
+    // The others have spent their even shares likewise: its own tells how much of the whole is left.
+    if (a.alone && !alone() && a.level > 0) a.level *= a.spread;
     a.alone = alone();
     a.level = std::min(most, a.level + a.plan->rate * part * seconds);
     a.sure = std::min(a.sure, a.level);
@@ -517,8 +518,9 @@
       const double most = ledger::kMailShare * s_.peer_messages_per_s;
       ledger.pacing.asked({ledger.rate, most, s_.gateways, ledger.claims.size() + 1}, time());
     }
-    // A keeper that has just started or stands in may know no R: the least told level counts.
-    if (!s_.guarded && !ledger.claims.contains(from) && (time() - ledger.opened).count() < kYoung) {
+    // What another keeper has granted since is not in this ledger, which filled all the same: where it does
+    // not know all that was asked, the least told level counts.
+    if (!s_.guarded && !ledger.knows(from, ask)) {
       ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
     }
     if (!ledger.merge(from, ask, time())) return;
@@ -591,6 +593,7 @@
     a.limit = limit;
     if (a.plan->rate > 0 && a.total > limit) note(a);  // spent while it was given back
     a.answered = std::max(now_, a.asked);
+    a.told_part = a.part;
     a.pause = pause.count();
     a.level = a.sure = ledger::level_told(a.plan->burst, level);
     a.lend = std::max(next_share(a), open && !s_.guarded ? 2 * s_.most_units : 0);
--- a/src/ledger/account.h
+++ b/src/ledger/account.h
@@ -17,6 +17,7 @@
   std::uint32_t hash = 0;
   int first = 0, spread = 1;  // its set
   int parts = 1, part = 0;    // of its ledger, and whose keeper is asked
+  int told_part = -1;         // whose level was told last
   int keeper = -1;            // asked last ...
   std::uint32_t turn = 0;     // ... after so many changes
   double level = 0;           // D: units left, as last told, filled and less own use
--- a/src/ledger/asks.h
+++ b/src/ledger/asks.h
@@ -66,7 +66,9 @@
                                 : kReport;
   // Nobody has told the level of a store that presses: a keeper that knows nothing takes it for low.
   const std::uint64_t most = throttled ? kPressedLevel : kAll;
-  const auto level = std::min(told_level(a.plan->burst, a.level), most);
+  // Of another part's store nothing is known.
+  const bool known = a.parts == 1 || a.part == a.told_part;
+  const auto level = std::min(known ? told_level(a.plan->burst, a.level) : kAll, most);
   a.standing.reported();
   if (report) a.limit = std::max(a.limit, a.total);
   return {Kind::ask,
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -79,6 +79,13 @@
   bool tight(Time now) const { return slack.tight(now) || throttle.on(); }
   void take(double units) { level = std::clamp(level - units, debt, burst); }
 
+  // Has it heard all that this gatekeeper has asked about the customer? Not so where the gatekeeper is new,
+  // or has turned to another keeper or spent its even share meanwhile. A new life of it knows no more than
+  // this ledger does.
+  bool knows(int from, const Ask& ask) const {
+    const auto at = claims.find(from);
+    return at != claims.end() && (at->second.life != ask.life || at->second.turn >= ask.turn);
+  }
   // What an ask changes: what was used beyond its limit is taken, what is no longer wanted comes back. False:
   // it was overtaken by a later one of the same life, and changes nothing.
   bool merge(int from, const Ask& ask, Time now) {
