quota-bound: count restarts where one gatekeeper stands alone

What operators saw: for a single gatekeeper whose quotas trust, quota-bound promised 1 unit beyond the quota, whatever the restarts. Cause: bound.cpp returned before the term of restarts where the tier has one member. The program does as the design says (it begins full); the promise was wrong. Change: the term comes before that return.

--- a/src/ledger/bound.cpp
+++ b/src/ledger/bound.cpp
@@ -47,6 +47,11 @@
   const int n = tier.gatekeepers;
   out.terms.push_back(
       {"shares rounded up to whole requests", "n × the largest request", n * plan.most_units});
+  // One alone forgets as well.
+  if (tier.restarts_per_minute > 0)
+    out.terms.push_back({"a keeper that has forgotten",
+                         "burst for each restart of its keeper in a window of 1 min",
+                         plan.burst * tier.restarts_per_minute / n});
   if (n == 1) return out;
   out.terms.push_back(
       {"even shares while a keeper is asked", "burst, once for a set new to the customer", plan.burst});
@@ -54,10 +59,6 @@
                        "4 × burst, or n × burst if that is less: each its next share, once a word",
                        plan.burst * std::min(4, n)});
   out.terms.push_back({"stale grants", "rate × 0.5 s", units_in(plan.rate, std::chrono::milliseconds(500))});
-  if (tier.restarts_per_minute > 0)
-    out.terms.push_back({"a keeper that has forgotten",
-                         "burst for each restart of its keeper in a window of 1 min",
-                         plan.burst * tier.restarts_per_minute / n});
   if (tier.splits_per_minute > 0)
     out.terms.push_back({"two sides of a split", "rate × 10 s + burst each",
                          tier.splits_per_minute * (plan.burst + 10 * plan.rate)});
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -520,4 +520,14 @@
   EXPECT_DOUBLE_EQ(bound_of(tier, plan).units, 2.5);
 }
 
+// Found by the soak, seed 2: one gatekeeper that restarts forgets what was spent, as a keeper among several
+// does.
+TEST(bound, a_single_gatekeeper_that_restarts_forgets_a_burst_each_time) {
+  Tier tier;
+  const Plan plan{"p", 10, 20, 1};
+  EXPECT_DOUBLE_EQ(bound_of(tier, plan).units, 1);
+  tier.restarts_per_minute = 3;
+  EXPECT_DOUBLE_EQ(bound_of(tier, plan).units, 1 + 3 * 20);
+}
+
 }  // namespace
