--- a/testing/client.h
+++ b/testing/client.h
@@ -47,6 +47,7 @@
   // The same beside the test, which goes on at once; `finish` waits for it.
   void flow(double per_s, milliseconds time, std::function<Ask(std::size_t)> make);
   std::size_t open() const { return open_; }
+  std::size_t idle_connections() const { return idle_.size(); }
   const std::vector<Result>& results() const { return results_; }
   std::size_t count(int status) const;
   // Plays until all that was sent has ended.
--- a/testing/tier.cpp
+++ b/testing/tier.cpp
@@ -53,11 +53,11 @@
 void Tier::start(int gatekeeper) {
   auto& one = at(gatekeeper);
   const auto name = "services" + std::to_string(gatekeeper) + ".yaml";
-  folder.write(name, file_of(gatekeeper));
+  write_file(gatekeeper, false);
   one.program = std::make_unique<Program>(binary_,
                                           std::vector<std::string>{"serve", "--config", folder.path(name),
                                                                    "--console", path(gatekeeper, "console")},
-                                          std::map<std::string, std::string>{}, path(gatekeeper, "log"));
+                                          std::map<std::string, std::string>{}, path_of_log(gatekeeper));
   if (!one.client)
     one.client = std::make_unique<Client>(stage, one.port, &rules, "g" + std::to_string(gatekeeper) + "-");
 }
@@ -72,8 +72,39 @@
   }
 }
 
+void Tier::write_file(int gatekeeper, bool faulty) {
+  folder.write("services" + std::to_string(gatekeeper) + ".yaml",
+               faulty ? "classes: {nothing" : file_of(gatekeeper));
+}
+
+void Tier::crowd(int gatekeeper, int connections) {
+  auto& crowd = at(gatekeeper).crowd;
+  crowd.clear();
+  const net::tcp::endpoint to(net::asio::ip::make_address("127.0.0.1"),
+                              static_cast<std::uint16_t>(at(gatekeeper).port));
+  for (int i = 0; i < connections; ++i) {
+    crowd.emplace_back(stage.io());
+    boost::system::error_code error;
+    crowd.back().connect(to, error);
+    if (error) crowd.pop_back();
+  }
+}
+
+bool Tier::listens(int gatekeeper) {
+  net::tcp::socket socket(stage.io());
+  boost::system::error_code error;
+  socket.connect({net::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(at(gatekeeper).port)},
+                 error);
+  return !error;
+}
+
 void Tier::kill(int gatekeeper) { at(gatekeeper).program.reset(); }
 
+bool Tier::takes(int gatekeeper) {
+  if (absent.contains(gatekeeper) || !alive(gatekeeper)) return false;
+  return !leaving.contains(gatekeeper) || at(gatekeeper).client->idle_connections() > 0;
+}
+
 void Tier::ask(Sender& sender) {
   Ask ask;
   ask.plan = sender.plan();
@@ -84,15 +115,16 @@
   ask.deadline = milliseconds(ask.safe ? 1500 : 2000);
   const auto size = gatekeepers_.size();
   ask.extra = "";
-  ask.done = [this](const Result& result) {
+  ask.done = [this, ask](const Result& result) {
+    if (answered) answered(ask, result);
     served += result.status == 200;
     refused += result.status == 429 || result.status == 503;
     failed += result.status != 200 && result.status != 429 && result.status != 503;
   };
   auto to = sender.to ? static_cast<std::size_t>(sender.to()) : random() % size;
   // Who finds a gatekeeper gone goes to the next.
-  for (std::size_t i = 0; i < size && !alive(static_cast<int>(to)); ++i) to = (to + 1) % size;
-  if (!alive(static_cast<int>(to))) return;
+  for (std::size_t i = 0; i < size && !takes(static_cast<int>(to)); ++i) to = (to + 1) % size;
+  if (!takes(static_cast<int>(to))) return;
   ++asked;
   gatekeepers_[to].client->send(ask);
 }
--- a/testing/tier.h
+++ b/testing/tier.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,17 @@
   void start();  // all, and waits until they listen
   void start(int gatekeeper);
   void kill(int gatekeeper);
+  int exit_code(int gatekeeper) { return at(gatekeeper).program ? at(gatekeeper).program->wait() : -1; }
+  Program& program(int gatekeeper) { return *at(gatekeeper).program; }
+  // Its configuration, as at the start or so that it cannot be read.
+  void write_file(int gatekeeper, bool faulty);
+  // So many connections to it that say nothing, instead of those before.
+  void crowd(int gatekeeper, int connections);
+  bool listens(int gatekeeper);
+  std::size_t idle_connections(int gatekeeper) { return at(gatekeeper).client->idle_connections(); }
+  const std::vector<Result>& results(int gatekeeper) const {
+    return gatekeepers_[static_cast<std::size_t>(gatekeeper)].client->results();
+  }
   void signal(int gatekeeper, int number) { at(gatekeeper).program->signal(number); }
   bool alive(int gatekeeper) { return at(gatekeeper).program && at(gatekeeper).program->alive(); }
   std::string console(int gatekeeper, const std::string& command) {
@@ -47,6 +59,14 @@
   void play(milliseconds time, const std::function<void(milliseconds)>& step = {});
   void finish();  // until all that was sent has ended, or 5 s
 
+  std::string logs;       // a folder that keeps them; none: they go with the test
+  std::set<int> leaving;  // clients go on there on open connections only
+  std::set<int> absent;   // no client goes there
+  std::function<void(const Ask&, const Result&)> answered;
+  std::string path_of_log(int gatekeeper) const {
+    return logs.empty() ? path(gatekeeper, "log") : logs + "/log" + std::to_string(gatekeeper);
+  }
+
   Stage stage;
   Rules rules;
   Folder folder;
@@ -61,9 +81,11 @@
     int port = 0, mail_port = 0;
     std::unique_ptr<Program> program;
     std::unique_ptr<Client> client;
+    std::vector<net::tcp::socket> crowd;
   };
   Gatekeeper& at(int i) { return gatekeepers_[static_cast<std::size_t>(i)]; }
   std::string file_of(int gatekeeper) const;
+  bool takes(int gatekeeper);
   void ask(Sender& sender);
 
   const std::string binary_;
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -8,16 +8,12 @@
 #include <deque>
 
 #include "testing/rig.h"
+#include "testing/sanitized.h"
 
 namespace cranemux::testing {
 namespace {
 
 std::string program;  // the path, from the environment
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kSanitized = true;
-#else
-constexpr bool kSanitized = false;
-#endif
 
 Ask to(const std::string& host, int customer = 1, bool safe = true) {
   Ask ask;
--- /dev/null
+++ b/tests/soak_plan.cpp
@@ -0,0 +1,113 @@
+#include "tests/soak_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <sstream>
+#include <utility>
+
+namespace cranemux::soak {
+namespace {
+
+struct Kind {
+  Fault fault;
+  const char* name;
+  milliseconds least, most;  // how long it lasts
+};
+
+constexpr std::array kKinds{
+    Kind{Fault::planned_end, "planned_end", kEarliestKill, kEarliestKill},
+    Kind{Fault::planned_end_twice, "planned_end_twice", kEarliestKill, kEarliestKill},
+    Kind{Fault::end_while_starting, "end_while_starting", kEarliestKill, kEarliestKill},
+    Kind{Fault::killed, "killed", milliseconds(50), milliseconds(2000)},
+    Kind{Fault::two_killed, "two_killed", milliseconds(50), milliseconds(2000)},
+    Kind{Fault::reloads, "reloads", milliseconds(100), milliseconds(100)},
+    Kind{Fault::stopped, "stopped", milliseconds(150), milliseconds(2000)},
+    Kind{Fault::cut_off, "cut_off", milliseconds(400), milliseconds(6000)},
+    Kind{Fault::cut_one_way, "cut_one_way", milliseconds(400), milliseconds(6000)},
+    Kind{Fault::all_cut_off, "all_cut_off", milliseconds(400), milliseconds(6000)},
+    Kind{Fault::split, "split", milliseconds(400), milliseconds(6000)},
+    Kind{Fault::loss, "loss", milliseconds(1000), milliseconds(8000)},
+    Kind{Fault::nodes_stall, "nodes_stall", milliseconds(200), milliseconds(1500)},
+    Kind{Fault::node_resets, "node_resets", milliseconds(500), milliseconds(3000)},
+    Kind{Fault::node_declines, "node_declines", milliseconds(500), milliseconds(3000)},
+    Kind{Fault::nodes_late, "nodes_late", milliseconds(500), milliseconds(3000)},
+    Kind{Fault::crowd, "crowd", milliseconds(300), milliseconds(2500)},
+};
+
+// Draws that are the same everywhere: the standard's distributions are not.
+class Draws {
+ public:
+  explicit Draws(std::uint64_t seed) : engine_(seed) {}
+  int below(int most) { return static_cast<int>(engine_() % static_cast<std::uint64_t>(most)); }
+  milliseconds between(milliseconds least, milliseconds most) {
+    return least + milliseconds(below(static_cast<int>((most - least).count()) + 1));
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+const Kind& kind_of(Fault fault) {
+  return *std::find_if(kKinds.begin(), kKinds.end(), [&](const Kind& kind) { return kind.fault == fault; });
+}
+
+bool needs_peers(Fault fault) {
+  return fault == Fault::two_killed || fault == Fault::cut_off || fault == Fault::cut_one_way ||
+         fault == Fault::all_cut_off || fault == Fault::split || fault == Fault::loss;
+}
+
+std::vector<SenderPlan> draw_senders(Draws& draws) {
+  std::vector<SenderPlan> out{{20, 40, 100}, {10, 20, 12}};
+  for (int i = 0; i < 6; ++i) {
+    const double rate = 8 + draws.below(9);
+    out.push_back({rate, 2 * rate, rate / (2 + draws.below(3))});
+  }
+  return out;
+}
+
+}  // namespace
+
+const char* name_of(Fault fault) { return kind_of(fault).name; }
+
+int Plan::count(Fault fault) const {
+  return static_cast<int>(
+      std::count_if(events.begin(), events.end(), [&](const Event& event) { return event.fault == fault; }));
+}
+
+std::string Plan::text() const {
+  std::ostringstream out;
+  out << "seed " << seed << ": " << gatekeepers << " gatekeepers, quotas "
+      << (guarded ? "guarded" : "trusting") << ", " << length.count() << " ms\n";
+  for (const auto& event : events) {
+    out << "  " << event.at.count() << " ms " << name_of(event.fault) << " of gatekeeper " << event.gatekeeper
+        << " for " << event.lasts.count() << " ms\n";
+  }
+  return out.str();
+}
+
+Plan draw(std::uint64_t seed, milliseconds length) {
+  constexpr milliseconds kCalmBeginning{3000}, kLeastGap{200}, kMostGap{2500};
+  Draws draws(seed);
+  Plan plan;
+  plan.seed = seed;
+  plan.length = length;
+  plan.gatekeepers = 1 + draws.below(6);
+  plan.guarded = draws.below(2) == 0;
+  plan.senders = draw_senders(draws);
+  auto at = kCalmBeginning;
+  while (true) {
+    const auto& kind = kKinds[static_cast<std::size_t>(draws.below(static_cast<int>(kKinds.size())))];
+    Event event{kind.fault, at, draws.between(kind.least, kind.most), draws.below(plan.gatekeepers)};
+    const auto gap = draws.between(kLeastGap, kMostGap);
+    if (event.end() + kQuietEnd > length) break;
+    if (plan.gatekeepers == 1 && needs_peers(event.fault)) continue;
+    // Some follow while the one before goes on.
+    const bool beside = draws.below(4) == 0;
+    at = beside ? event.at + event.lasts / 2 : event.end() + gap;
+    plan.events.push_back(event);
+  }
+  return plan;
+}
+
+}  // namespace cranemux::soak
--- /dev/null
+++ b/tests/soak_plan.h
@@ -0,0 +1,67 @@
+// What one run of the soak does, drawn from a seed: the same seed gives the same plan on every machine. What
+// still differs from run to run is the scheduling of the processes.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cranemux::soak {
+
+using std::chrono::milliseconds;
+
+enum class Fault {
+  planned_end,         // SIGTERM, SIGKILL at the earliest moment that is allowed, then a new start
+  planned_end_twice,   // the same with SIGTERM twice, and SIGHUP between the two
+  end_while_starting,  // SIGTERM in the first milliseconds of a start, then a new start
+  killed,              // SIGKILL, then a new start
+  two_killed,          // two at once
+  reloads,             // SIGHUP five times in 100 ms, one of them with a faulty file, SIGUSR1 among them
+  stopped,             // SIGSTOP, later SIGCONT
+  cut_off,             // one hears nobody and is not heard
+  cut_one_way,         // one is not heard, and hears
+  all_cut_off,         // nobody hears anybody
+  split,               // two halves
+  loss,                // of datagrams, with delay and repeats
+  nodes_stall,         // both nodes run what they get and say nothing
+  node_resets,         // one node breaks connections
+  node_declines,       // one node declines
+  nodes_late,          // both nodes take a second
+  crowd,               // idle clients take most of the descriptors, and leave at once
+};
+const char* name_of(Fault fault);
+
+struct Event {
+  Fault fault = Fault::loss;
+  milliseconds at{0}, lasts{0};  // since the start of the run
+  int gatekeeper = 0;            // the one that it is about
+  milliseconds end() const { return at + lasts; }
+};
+
+struct SenderPlan {
+  double rate = 1, burst = 1;  // of the quota: units a second, and units
+  double asks = 1;             // units a second
+  bool calm() const { return asks <= rate / 2; }
+};
+
+struct Plan {
+  std::uint64_t seed = 0;
+  milliseconds length{0};
+  int gatekeepers = 1;
+  bool guarded = false;  // quotas; else they trust
+  std::vector<SenderPlan> senders;
+  std::vector<Event> events;  // in the order of their beginnings
+
+  int count(Fault fault) const;
+  std::string text() const;  // a line an event
+};
+
+// After the last event a run is quiet for so long.
+constexpr milliseconds kQuietEnd{8000};
+// From SIGTERM on: to SIGKILL, and what comes by then is owed an answer. The longest deadline here is 2 s.
+constexpr milliseconds kEarliestKill{3700}, kStillOwed{700};
+
+Plan draw(std::uint64_t seed, milliseconds length);
+
+}  // namespace cranemux::soak
