quota-bound: count a burst for each restart of a trusting tier, not its mean over all gatekeepers

Operators saw a bound that is none: each restart counted a burst divided by the number of gatekeepers, though each may be of the very gatekeeper that leads a customer's quota. Cause: the division in bound_of (src/ledger/bound.cpp). It was hidden since the soak multiplied the restarts it asks for by the same number; it asks for those that it draws now, which comes to the same bound for it.

Test: bound.restarts_of_a_trusting_tier_count_a_burst_each failed before (122 where 170 is due, five gatekeepers, three restarts).

--- a/src/ledger/bound.cpp
+++ b/src/ledger/bound.cpp
@@ -47,11 +47,10 @@
   const int n = tier.gatekeepers;
   out.terms.push_back(
       {"shares rounded up to whole requests", "n × the largest request", n * plan.most_units});
-  // One alone forgets as well.
+  // One alone forgets as well. Each may be of the customer's keeper: a share of them is no bound.
   if (tier.restarts_per_minute > 0)
-    out.terms.push_back({"a keeper that has forgotten",
-                         "burst for each restart of its keeper in a window of 1 min",
-                         plan.burst * tier.restarts_per_minute / n});
+    out.terms.push_back({"a keeper that has forgotten", "burst for each restart in a window of 1 min",
+                         plan.burst * tier.restarts_per_minute});
   if (n == 1) return out;
   out.terms.push_back(
       {"even shares while a keeper is asked", "burst, once for a set new to the customer", plan.burst});
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -530,4 +530,14 @@
   EXPECT_DOUBLE_EQ(bound_of(tier, plan).units, 1 + 3 * 20);
 }
 
+// Each restart may be of the very gatekeeper that leads a customer's quota.
+TEST(bound, restarts_of_a_trusting_tier_count_a_burst_each) {
+  Tier tier;
+  tier.gatekeepers = 5;
+  const Plan plan{"p", 10, 20, 1};
+  const auto calm = bound_of(tier, plan).units;
+  tier.restarts_per_minute = 3;
+  EXPECT_DOUBLE_EQ(bound_of(tier, plan).units, calm + 3 * 20);
+}
+
 }  // namespace
--- a/tests/soak_run.cpp
+++ b/tests/soak_run.cpp
@@ -377,7 +377,6 @@
 
   // Printed before anything runs.
   void read_bounds() {
-    // As if each restart were of the customer's keeper: the bound goes by the mean.
     const int restarts = plan_.count(Fault::planned_end) + plan_.count(Fault::planned_end_twice) +
                          2 * plan_.count(Fault::end_while_starting) + plan_.count(Fault::killed) +
                          2 * plan_.count(Fault::two_killed);
@@ -385,12 +384,11 @@
                        plan_.count(Fault::all_cut_off) + plan_.count(Fault::split) +
                        plan_.count(Fault::stopped);
     std::string out;
-    const int code =
-        testing::run(binary_,
-                     {"quota-bound", tier_.path(0, "services") + ".yaml", "--json", "--delay-ms", "30",
-                      "--loss", "0.25", "--restarts-per-minute", std::to_string(restarts * plan_.gatekeepers),
-                      "--splits-per-minute", std::to_string(splits)},
-                     out);
+    const int code = testing::run(
+        binary_,
+        {"quota-bound", tier_.path(0, "services") + ".yaml", "--json", "--delay-ms", "30", "--loss", "0.25",
+         "--restarts-per-minute", std::to_string(restarts), "--splits-per-minute", std::to_string(splits)},
+        out);
     if (code != 0) return breaks("quota-bound: " + out);
     const auto told = json::parse(out);
     for (const auto& plan : *told.find("plans")->array())
