Soak: GraphQL, clients that leave or send in pieces, nodes taken out of the files, leaders killed with their replica, the kill at the earliest

New rules: nothing is sent on later than 0.1 s (and the checker's slack) after its client left; nothing to a node 1 s after it was taken out of the files.

Narrowed, by traces: - exit code after SIGTERM: a process that has no handler yet (SigCgt of /proc, read before the signal) is ended by the system.

--- a/testing/client.cpp
+++ b/testing/client.cpp
@@ -65,20 +65,38 @@
   return stage_.play_until([this] { return open_ == 0; }, most);
 }
 
+net::awaitable<bool> Client::write(std::shared_ptr<net::tcp::socket> socket, std::string bytes,
+                                   std::size_t piece) {
+  constexpr milliseconds kPause{2};
+  if (piece == 0) piece = bytes.size();
+  net::asio::steady_timer pause(stage_.io());
+  for (std::size_t at = 0; at < bytes.size(); at += piece) {
+    if (at > 0) {
+      pause.expires_after(kPause);
+      co_await pause.async_wait(net::kResult);
+    }
+    const auto [error, count] = co_await net::asio::async_write(
+        *socket, net::asio::buffer(std::string_view(bytes).substr(at, piece)), net::kResult);
+    if (error) co_return false;
+  }
+  co_return true;
+}
+
 net::awaitable<void> Client::exchange(Ask ask, std::string id) {
   const std::weak_ptr<char> alive = alive_;
   Result result;
   result.id = id;
   result.sent = Clock::now();
-  const auto body = ask.safe ? std::string() : ask.body.empty() ? "book it" : ask.body;
-  std::string out = (ask.safe ? "GET " : "POST ") + ask.target + " HTTP/1.1\r\nHost: " + ask.host +
+  const bool posts = ask.posts || !ask.safe;
+  const auto body = !posts ? std::string() : ask.body.empty() ? "book it" : ask.body;
+  std::string out = (posts ? "POST " : "GET ") + ask.target + " HTTP/1.1\r\nHost: " + ask.host +
                     "\r\nReq-Id: " + id + "\r\nReq-Kind: " + ask.klass + "\r\nX-Tier: " + ask.plan +
                     "\r\nCookie: client=" + ask.customer +
                     "\r\nReq-Deadline-Ms: " + std::to_string(ask.deadline.count()) +
                     "\r\nX-Call-Terms: units=" + std::to_string(std::llround(ask.units)) +
                     (ask.spread > 1 ? ",spread=" + std::to_string(ask.spread) + ",first=0" : std::string()) +
                     "\r\n" + ask.extra;
-  if (!ask.safe) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (posts) out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   out += "\r\n" + body;
   // A close of an idle channel may cross the request: then it goes once more, on a new one.
   for (int tries = 0; tries < 2 && result.status == 0; ++tries) {
@@ -94,18 +112,28 @@
       std::tie(error) = co_await socket->async_connect(to_, net::kResult);
       if (!error) socket->set_option(net::tcp::no_delay(true), error);
     }
-    if (!error) {
-      std::size_t count = 0;
-      std::tie(error, count) = co_await net::asio::async_write(*socket, net::asio::buffer(out), net::kResult);
+    net::asio::steady_timer leaving(stage_.io());
+    if (ask.leaves_after.count() > 0) {
+      leaving.expires_at(result.sent + ask.leaves_after);
+      leaving.async_wait([socket](const boost::system::error_code& cancelled) {
+        boost::system::error_code ignored;
+        if (!cancelled) socket->close(ignored);
+      });
     }
+    const bool sent = !error && co_await write(socket, out, ask.piece);
     std::string in;
     http::Message message;
     http::Verdict verdict;
-    while (!error && verdict.state == http::State::partial) {
+    while (sent && verdict.state == http::State::partial) {
       if (co_await net::read_more(*socket, in) == 0) break;
       verdict = http::parse(in, http::Kind::response, message);
     }
     if (alive.expired()) co_return;
+    leaving.cancel();
+    if (ask.leaves_after.count() > 0 && !socket->is_open()) {
+      if (rules_) rules_->left(id, result.sent + ask.leaves_after);
+      break;
+    }
     if (verdict.state == http::State::whole) {
       result.status = message.status;
       result.body = message.body;
--- a/testing/client.h
+++ b/testing/client.h
@@ -25,12 +25,15 @@
   std::string host = "app.svc", target = "/api", klass = "job-status", plan = "business",
               customer = "0000000000000001";
   bool safe = true;
+  bool posts = false;  // sent with a body, though it may be repeated
   double units = 1;
   int spread = 1;  // gatekeepers of its set, from the first on
   milliseconds deadline{2000};
-  std::string extra = {};  // further header lines, each with its end
-  std::string body = {};   // of an unsafe request; some text where it is empty
-  std::string id = {};     // the client's own numbering where it is empty
+  std::string extra = {};        // further header lines, each with its end
+  std::string body = {};         // of an unsafe request; some text where it is empty
+  std::string id = {};           // the client's own numbering where it is empty
+  milliseconds leaves_after{0};  // closes its connection then, answer or not; 0: stays
+  std::size_t piece = 0;         // sends so many bytes at a time, with pauses; 0: all at once
   std::function<void(const Result&)> done = {};
 };
 
@@ -57,6 +60,8 @@
 
  private:
   net::awaitable<void> exchange(Ask ask, std::string id);
+  // False: the connection has failed.
+  net::awaitable<bool> write(std::shared_ptr<net::tcp::socket> socket, std::string bytes, std::size_t piece);
   net::awaitable<void> pour(double per_s, std::size_t count, std::function<Ask(std::size_t)> make);
 
   Stage& stage_;
--- a/testing/program.cpp
+++ b/testing/program.cpp
@@ -108,14 +108,20 @@
   return code_;
 }
 
-long Program::resident_kb() const {
+std::string Program::status_line(const std::string& name) const {
   std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
   for (std::string line; std::getline(in, line);) {
-    if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
+    if (line.starts_with(name + ":")) return line.substr(name.size() + 1);
   }
-  return 0;
+  return "0";
 }
 
+bool Program::catches(int signal) const {
+  return (std::stoull(status_line("SigCgt"), nullptr, 16) >> static_cast<unsigned>(signal - 1) & 1U) != 0;
+}
+
+long Program::resident_kb() const { return std::stol(status_line("VmRSS")); }
+
 double Program::cpu_s() const {
   std::FILE* in = std::fopen(("/proc/" + std::to_string(pid_) + "/stat").c_str(), "r");
   unsigned long user = 0, system = 0;
--- a/testing/program.h
+++ b/testing/program.h
@@ -37,12 +37,14 @@
 
   void signal(int number) const;
   bool alive();
-  int wait();  // its exit code; -1 if a signal ended it
+  int wait();                      // its exit code; -1 if a signal ended it
+  bool catches(int signal) const;  // has it a handler for it, yet?
   long resident_kb() const;
   double cpu_s() const;  // of processor so far
   pid_t pid() const { return pid_; }
 
  private:
+  std::string status_line(const std::string& name) const;  // of /proc; "0": it has gone
   pid_t pid_ = 0;
   int code_ = 0;
 };
--- a/testing/rules.cpp
+++ b/testing/rules.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::chrono::seconds kDrainGrace{1};
+constexpr std::chrono::milliseconds kLeaveGrace{100};  // an attempt may begin so long after its client left
 
 }  // namespace
 
@@ -24,6 +25,8 @@
   asks_[id].answers.emplace_back(status, at);
 }
 
+void Rules::left(const std::string& id, Time at) { asks_[id].left = at; }
+
 void Rules::begun(const std::string& id, const std::string& node, Time at) {
   for (const auto& look : looks_) look(id);
   auto& ask = asks_[id];
@@ -56,7 +59,7 @@
 std::vector<std::string> Rules::broken(Span slack) const {
   std::vector<std::string> out;
   for (const auto& [id, ask] : asks_) {
-    if (ask.answers.empty()) out.push_back(id + " has no final answer");
+    if (ask.answers.empty() && !ask.left) out.push_back(id + " has no final answer");
     if (ask.answers.size() > 1) out.push_back(id + " has " + std::to_string(ask.answers.size()) + " answers");
     if (!ask.answers.empty() && ask.answers.front().second > ask.at + ask.deadline + slack) {
       out.push_back(id + " was answered past its deadline");
@@ -72,6 +75,9 @@
     }
   }
   for (const auto& begin : begins_) {
+    const auto& left = asks_.at(begin.id).left;
+    if (left && begin.at > *left + kLeaveGrace + slack)
+      out.push_back(begin.id + " was sent on after its client had left");
     const auto drains = drains_.find(begin.node);
     if (drains == drains_.end()) continue;
     for (const auto& drain : drains->second) {
--- a/testing/rules.h
+++ b/testing/rules.h
@@ -21,6 +21,7 @@
   void asked(const std::string& id, bool safe, const std::string& customer, double units, Time at,
              Span deadline);
   void answered(const std::string& id, int status, Time at);
+  void left(const std::string& id, Time at);  // it closed its connection before the answer
   // What nodes see: the first byte and the end of a request on a connection, what came of it.
   void begun(const std::string& id, const std::string& node, Time at);
   void ran(const std::string& id);
@@ -73,6 +74,7 @@
     Time at;
     Span deadline{};
     std::vector<std::pair<int, Time>> answers;
+    std::optional<Time> left;
     std::size_t runs = 0;
     int out = 0, most_out = 0;
   };
--- a/testing/tier.cpp
+++ b/testing/tier.cpp
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "json/json.h"
+
 namespace cranemux::testing {
 
 Tier::Tier(std::string binary, int gatekeepers, std::uint64_t seed)
@@ -32,9 +34,10 @@
 std::string Tier::file_of(int gatekeeper) const {
   const auto& me = gatekeepers_[static_cast<std::size_t>(gatekeeper)];
   std::string out = "name: n" + std::to_string(gatekeeper) + "\nlimits: {sockets: 1024, memory_mb: 64}\n";
-  out +=
-      "classes: {job-status: {aim: 500ms, give_up: 1500ms, worth: 3, repeat: safe}, "
-      "book-job: {aim: 700ms, give_up: 2s, worth: 5, repeat: never}}\nplans:\n";
+  const auto in_ms = [](milliseconds time) { return std::to_string(time.count()) + "ms"; };
+  out += "classes: {job-status: {aim: 500ms, give_up: " + in_ms(safe_deadline) +
+         ", worth: 3, repeat: safe}, book-job: {aim: 700ms, give_up: " + in_ms(unsafe_deadline) +
+         ", worth: 5, repeat: never}}\nplans:\n";
   for (const auto& s : senders) {
     out += "  " + s->plan() + ": {units_per_s: " + std::to_string(s->rate) +
            ", burst: " + std::to_string(s->burst) + "}\n";
@@ -44,12 +47,31 @@
          "\", messages_per_s: " + std::to_string(messages_per_s) + ", quotas: " + quotas + more +
          ", peers: [";
   for (const auto& peer : relay->peers_of(gatekeeper)) out += "\"" + peer + "\", ";
-  out +=
-      "]}\nlisteners: {web: {listen: \"127.0.0.1:" + std::to_string(me.port) + "\"}}\npools: {all: {nodes: [";
-  for (const auto& node : nodes) out += "\"" + node->address() + "\", ";
+  out += "]}\nlisteners: {web: {listen: \"127.0.0.1:" + std::to_string(me.port) + "\"" +
+         (graphql ? ", front: graphql, graphql: costs.json" : "") + "}}\npools: {all: {nodes: [";
+  for (const auto& node : nodes) {
+    if (!unlisted.contains(node->name())) out += "\"" + node->address() + "\", ";
+  }
   return out + "]}}\nroutes: [{pool: all}]\n";
 }
 
+// Each operation costs one unit, and carries its request's id to the node.
+void Tier::speak_graphql() {
+  folder.write("costs.json", R"({"schema": "schema.graphql"})");
+  folder.write("schema.graphql",
+               "type Query { status(id: ID): Job } type Mutation { book(id: ID): Job } type Job { id: ID }");
+  for (const auto& node : nodes) {
+    node->id = [](const http::Message& message) {
+      const auto body = json::parse(message.body);
+      return *body.find("variables")->find("try")->string();
+    };
+    node->body = [](const http::Message& message) {
+      const bool books = message.body.find("mutation") != std::string::npos;
+      return std::string(R"({"data":{")") + (books ? "book" : "status") + R"(":{"id":1}}})";
+    };
+  }
+}
+
 void Tier::start(int gatekeeper) {
   auto& one = at(gatekeeper);
   const auto name = "services" + std::to_string(gatekeeper) + ".yaml";
@@ -63,6 +85,7 @@
 }
 
 void Tier::start() {
+  if (graphql) speak_graphql();
   for (int i = 0; i < static_cast<int>(gatekeepers_.size()); ++i) start(i);
   for (int i = 0; i < static_cast<int>(gatekeepers_.size()); ++i) {
     if (wait_for_listener(at(i).port, milliseconds(20'000), [&] { return alive(i); })) continue;
@@ -105,27 +128,42 @@
   return !leaving.contains(gatekeeper) || at(gatekeeper).client->idle_connections() > 0;
 }
 
-void Tier::ask(Sender& sender) {
+Ask Tier::make_ask(const Sender& sender) {
+  constexpr std::size_t kPiece = 24;  // bytes
   Ask ask;
   ask.plan = sender.plan();
   ask.customer = sender.name;
   ask.safe = random() % 4 != 0;
   ask.klass = ask.safe ? "job-status" : "book-job";
   ask.units = 1;
-  ask.deadline = milliseconds(ask.safe ? 1500 : 2000);
-  const auto size = gatekeepers_.size();
-  ask.extra = "";
+  ask.deadline = ask.safe ? safe_deadline : unsafe_deadline;
+  if (leave > 0 && draw() < leave) ask.leaves_after = milliseconds(1 + random() % 400);
+  if (in_pieces > 0 && draw() < in_pieces) ask.piece = kPiece;
   ask.done = [this, ask](const Result& result) {
     if (answered) answered(ask, result);
     served += result.status == 200;
     refused += result.status == 429 || result.status == 503;
     failed += result.status != 200 && result.status != 429 && result.status != 503;
   };
+  return ask;
+}
+
+void Tier::ask(Sender& sender) {
+  auto ask = make_ask(sender);
+  const auto size = gatekeepers_.size();
   auto to = sender.to ? static_cast<std::size_t>(sender.to()) : random() % size;
   // Who finds a gatekeeper gone goes to the next.
   for (std::size_t i = 0; i < size && !takes(static_cast<int>(to)); ++i) to = (to + 1) % size;
   if (!takes(static_cast<int>(to))) return;
   ++asked;
+  if (graphql) {
+    ask.id = "g" + std::to_string(to) + "-" + std::to_string(asked);
+    ask.target = "/graphql";
+    ask.body = std::string(R"({"query":")") + (ask.safe ? "query" : "mutation") + " { " +
+               (ask.safe ? "status" : "book") + R"((id:1) { id } }","variables":{"try":")" + ask.id + "\"}}";
+    ask.extra = "Content-Type: application/json\r\n";
+    ask.posts = true;
+  }
   gatekeepers_[to].client->send(ask);
 }
 
--- a/testing/tier.h
+++ b/testing/tier.h
@@ -32,7 +32,11 @@
   std::string quotas = "guarded";                          // the file's tier.quotas
   std::string more;  // of the file's tier: further keys, each with `, ` before it
   double messages_per_s = 200;
-  void start();  // all, and waits until they listen
+  bool graphql = false;  // the senders speak GraphQL: a reading operation, or one that books
+  milliseconds safe_deadline{1500}, unsafe_deadline{2000};
+  double leave = 0, in_pieces = 0;  // shares of the requests whose client leaves early, or sends slowly
+  std::set<std::string> unlisted;   // nodes, by name, that the files leave out
+  void start();                     // all, and waits until they listen
   void start(int gatekeeper);
   void kill(int gatekeeper);
   int exit_code(int gatekeeper) { return at(gatekeeper).program ? at(gatekeeper).program->wait() : -1; }
@@ -85,9 +89,13 @@
   };
   Gatekeeper& at(int i) { return gatekeepers_[static_cast<std::size_t>(i)]; }
   std::string file_of(int gatekeeper) const;
+  void speak_graphql();
+  Ask make_ask(const Sender& sender);
   bool takes(int gatekeeper);
   void ask(Sender& sender);
 
+  double draw() { return static_cast<double>(random() % 1000) / 1000; }
+
   const std::string binary_;
   std::vector<Gatekeeper> gatekeepers_;
 };
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -75,6 +75,33 @@
   EXPECT_TRUE(rules.broken().empty());
 }
 
+// Whoever has left is owed no answer, and nothing is sent on for it any more.
+TEST(Rules, WhoLeavesIsOwedNoAnswerAndNoAttempt) {
+  Rules rules;
+  rules.asked("a", true, "c", 1, at(0), milliseconds(1000));
+  rules.left("a", at(100));
+  EXPECT_TRUE(rules.broken().empty());
+  rules.begun("a", "n", at(400));
+  EXPECT_TRUE(rules.broken().empty());  // 0.1 s and the checker's slack
+  rules.over("a", at(410));
+  rules.begun("a", "n", at(500));
+  EXPECT_EQ(only(rules), "a was sent on after its client had left");
+}
+
+TEST(Rules, TheWindowOfTheLargestExcessIsTold) {
+  Rules rules;
+  for (int i = 0; i < 8; ++i) {
+    const auto id = std::to_string(i);
+    const int ms = i < 2 ? 0 : 1000 * i;  // two at once, then one each second
+    rules.asked(id, true, "c", 1, at(ms), milliseconds(500));
+    rules.begun(id, "n", at(ms));
+  }
+  const auto worst = rules.worst_excess("c", 0.5, 1);
+  EXPECT_DOUBLE_EQ(worst.units, 8 - 0.5 * 7 - 1);
+  EXPECT_EQ(worst.from, at(0));
+  EXPECT_EQ(worst.until, at(7000));
+}
+
 TEST(Rules, QuotasAreCountedAgainstAPerfectStore) {
   Rules rules;
   for (int i = 0; i < 10; ++i) {
