--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -428,25 +428,28 @@
     if (!letter) return;
     leaders().heard(message.from, time());
     for (const auto& entry : letter->entries) {
-      const auto& v = entry.figures;
       if (entry.plan >= plans_.size() || !ledger::sane(entry)) return;
-      if (entry.kind == ledger::Kind::ask) keep(message.from, entry, letter->life);
-      if (entry.kind == ledger::Kind::hand) {
-        ledgers().take_over(open_ledger(entry), message.from, rights().epoch(message.from), v[0], v[1],
-                            time());
-      }
-      const auto a = accounts_.find(entry.customer);
-      if (entry.kind == ledger::Kind::throttle) books_->throttle(ledger::throttle_word(entry), time());
-      if (entry.kind != ledger::Kind::grant || v[0] != life_ || a == accounts_.end()) continue;
-      // Of a replica that was asked while nobody was heard. Its leader can be asked, at once.
-      if (leaders().overtaken(a->second, message.from, keeper_of(a->second))) {
-        agenda_.by(entry.customer, time());
-      } else {
-        granted(a->second, static_cast<std::int64_t>(v[1]), v[2], static_cast<std::uint32_t>(v[3]),
-                ledger::kPauseStep * static_cast<int>(std::min<std::uint64_t>(v[4], 255)), v[5] == 1);
-      }
+      std::visit([&](const auto& said) { handle(message.from, entry, said, letter->life); }, entry.message);
     }
   }
+  void handle(int from, const ledger::Entry& entry, const ledger::Lease& lease, std::uint32_t) {
+    const auto a = accounts_.find(entry.customer);
+    if (lease.incarnation != life_ || a == accounts_.end()) return;
+    // Of a replica that was asked while nobody was heard. Its leader can be asked, at once.
+    if (leaders().overtaken(a->second, from, keeper_of(a->second))) return agenda_.by(entry.customer, time());
+    granted(a->second, static_cast<std::int64_t>(lease.limit), lease.level,
+            static_cast<std::uint32_t>(lease.number),
+            ledger::kPauseStep * static_cast<int>(std::min<std::uint64_t>(lease.pause, 255)),
+            lease.open == 1);
+  }
+  void handle(int from, const ledger::Entry& entry, const ledger::Transfer& transfer, std::uint32_t) {
+    ledgers().take_over(open_ledger(entry, 1), from, rights().epoch(from), transfer.level, transfer.number,
+                        time());
+  }
+  void handle(int, const ledger::Entry& entry, const ledger::ShedShare& shed, std::uint32_t) {
+    const auto share = static_cast<int>(std::min<std::uint64_t>(shed.share, ledger::kAll));
+    books_->throttle({entry.plan, entry.customer, share}, time());
+  }
 
   // ---- keepers ----------------------------------------------------------------------------------
 
@@ -498,24 +501,27 @@
     const auto plan = static_cast<std::uint32_t>(a.plan - plans_.data());
     const auto entry = ledger::entry_of(a, plan, guarded(a), report, time());
     if (keeper != s_.index && !report) leaders().asked(keeper);
-    keeper != s_.index || alone() ? mail().write(keeper, entry) : keep(keeper, entry, life_);
+    if (keeper != s_.index || alone())
+      mail().write(keeper, entry);
+    else
+      handle(keeper, entry, std::get<ledger::LeaseRequest>(entry.message), life_);
     return now_;
   }
 
-  Ledger& open_ledger(const ledger::Entry& entry) {
+  Ledger& open_ledger(const ledger::Entry& entry, std::uint64_t of_parts) {
     const auto& plan = plans_[entry.plan];
-    const auto parts = entry.kind == ledger::Kind::ask ? static_cast<std::uint32_t>(entry.figures[6]) : 1;
+    const auto parts = static_cast<std::uint32_t>(of_parts);
     return ledgers().open({entry.customer, entry.plan, plan.rate / parts, plan.burst / parts, debt_of(plan),
                            0, parts, s_.keepers > 0},
                           time());
   }
 
   // As keeper: what `from` used beyond its limit was borrowed, what it no longer wants comes back.
-  void keep(int from, const ledger::Entry& entry, std::uint32_t life) {
-    const auto ask = ledger::ask_of(entry, life, s_.guarded);
+  void handle(int from, const ledger::Entry& entry, const ledger::LeaseRequest& request, std::uint32_t life) {
+    const auto ask = ledger::ask_of(request, life, s_.guarded);
     if (s_.guarded && (ends_ || !ledgers().holds(entry.customer, time()))) return refuse(from, entry, ask);
-    auto& ledger = open_ledger(entry);
-    if (ledger.plan != entry.plan || ledger.parts != entry.figures[6]) return;
+    auto& ledger = open_ledger(entry, request.parts);
+    if (ledger.plan != entry.plan || ledger.parts != request.parts) return;
     ledgers().fill(ledger, time());
     ledger.heard = time();
     if (from != s_.index && ask.wanted > 0) {
@@ -525,7 +531,7 @@
     // What another keeper has granted since is not in this ledger, which filled all the same: where it does
     // not know all that was asked, the least told level counts.
     if (!s_.guarded && !ledger.knows(from, ask)) {
-      ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, entry.figures[1]));
+      ledger.level = std::min(ledger.level, ledger::level_told(ledger.burst, request.level));
     }
     if (!ledger.merge(from, ask, time())) return;
     const bool told = ask.report && (s_.keepers == 0 || (ask.share < ledger::kAll) != ledger.throttle.on());
@@ -536,9 +542,8 @@
   void refuse(int from, const ledger::Entry& entry, const ledger::Ask& ask) {
     if (from == s_.index) return;
     const auto used = static_cast<std::uint64_t>(ask.used);
-    mail().write(
-        from,
-        {ledger::Kind::grant, entry.plan, entry.customer, {ask.life & 0xffffU, used, 0, ask.number, 0, 0}});
+    mail().write(from,
+                 {entry.plan, entry.customer, ledger::Lease{ask.life & 0xffffU, used, 0, ask.number, 0, 0}});
   }
 
   // `asker` is answered anyway; whoever has only reported, `told`, if it should not go on so.
@@ -572,12 +577,10 @@
     const bool open = s_.guarded || (ledger.rate > 0 && !ledger.tight(time()));
     if (to == s_.index)
       return granted(accounts_[ledger.customer], claim.limit, level, number, ledger::Time(0), open);
-    mail().write(to,
-                 {ledger::Kind::grant,
-                  ledger.plan,
-                  ledger.customer,
-                  {claim.life & 0xffffU, static_cast<std::uint64_t>(claim.limit), level, number,
-                   static_cast<std::uint64_t>(ledger.pacing.pause() / ledger::kPauseStep), open ? 1U : 0U}});
+    ledger::Lease lease{claim.life & 0xffffU, static_cast<std::uint64_t>(claim.limit), level, number};
+    lease.pause = static_cast<std::uint64_t>(ledger.pacing.pause() / ledger::kPauseStep);
+    lease.open = open ? 1 : 0;
+    mail().write(to, {ledger.plan, ledger.customer, lease});
   }
 
   // `open`: the keeper has the right, where quotas are guarded; else, its store is far from empty.
@@ -920,7 +923,7 @@
     }
     ledgers().hand_over(s_.index, ends_, time());
     ledgers().hand(s_.index, time(), [this](int to, const ledger::Hand& h) {
-      mail().write(to, {ledger::Kind::hand, h.plan, h.customer, {h.level, h.number}});
+      mail().write(to, {h.plan, h.customer, ledger::Transfer{h.level, h.number}});
     });
   }
   void on(const Leaving&) { ends_ = true; }
--- a/src/ledger/asks.h
+++ b/src/ledger/asks.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "ledger/account.h"
+#include "ledger/figures.h"
 #include "ledger/ledger.h"
 #include "ledger/mail.h"
 #include "ledger/split.h"
@@ -13,43 +14,33 @@
 namespace cranemux::ledger {
 
 constexpr Time kHoldStep = std::chrono::milliseconds(10);  // on the wire
-constexpr std::uint64_t kSaneFigure = 1'000'000'000;       // an entry that says more is damaged
+constexpr std::uint64_t kMostFigure = 1'000'000'000;
 
 constexpr std::uint64_t kPressedLevel = 25;  // hundredths, as Throttle keeps it
 // The last figure of a question or report.
 constexpr std::uint64_t kQuestion = 0, kReport = 1, kThrottledReport = 2;  // and the share in hundredths
 
-inline bool sane(const Entry& entry) {
-  const auto& v = entry.figures;
-  if (*std::max_element(v.begin(), v.begin() + 3) > kSaneFigure) return false;
-  return entry.kind != Kind::ask || (v[6] >= 1 && *std::max_element(v.begin() + 5, v.end()) <= kSaneFigure);
-}
-
 // `life`: of the sender. Figures that no gatekeeper sends are cut to what it might.
-inline Ask ask_of(const Entry& entry, std::uint32_t life, bool guarded) {
-  const auto figure = [&](std::size_t i) {
-    return static_cast<std::int64_t>(std::min(entry.figures[i], kSaneFigure));
+inline Ask ask_of(const LeaseRequest& request, std::uint32_t life, bool guarded) {
+  const auto figure = [](std::uint64_t told) {
+    return static_cast<std::int64_t>(std::min(told, kMostFigure));
   };
-  const auto number = static_cast<std::uint32_t>(entry.figures[4]);
+  const auto number = static_cast<std::uint32_t>(request.number);
   Ask out;
   out.life = life;
   (guarded ? out.number : out.turn) = number;
-  out.used = figure(0);
-  out.weight = static_cast<double>(figure(2));
-  out.wanted = figure(3);
-  out.hold = kHoldStep * std::min<std::int64_t>(figure(5), 1000);
-  out.owed = std::min(out.used, figure(7));
-  out.report = !guarded && figure(8) > 0;
-  if (out.report && entry.figures[8] >= kThrottledReport)
-    out.share = static_cast<int>(std::min<std::uint64_t>(entry.figures[8] - kThrottledReport, kAll));
+  out.used = figure(request.used);
+  out.weight = static_cast<double>(figure(request.weight));
+  out.wanted = figure(request.wanted);
+  out.hold = kHoldStep * std::min<std::int64_t>(figure(request.hold), 1000);
+  out.owed = std::min(out.used, figure(request.owed));
+  out.report = !guarded && request.report > 0;
+  if (out.report && request.report >= kThrottledReport)
+    out.share = static_cast<int>(std::min<std::uint64_t>(request.report - kThrottledReport, kAll));
   if (out.report) out.turned_away = static_cast<double>(std::exchange(out.wanted, 0));
   return out;
 }
 
-inline ThrottleWord throttle_word(const Entry& entry) {
-  return {entry.plan, entry.customer, static_cast<int>(std::min<std::uint64_t>(entry.figures[0], kAll))};
-}
-
 // The same from what is known of an account: a question, or a report where nobody waits for an answer.
 // `plan`: its number in the settings.
 inline Entry entry_of(Account& a, std::uint32_t plan, bool guarded, bool report, Time now) {
@@ -71,12 +62,17 @@
   const auto level = std::min(known ? told_level(a.plan->burst, a.level) : kAll, most);
   a.standing.reported();
   if (report) a.limit = std::max(a.limit, a.total);
-  return {Kind::ask,
-          plan,
-          a.hash,
-          {static_cast<std::uint64_t>(used), level, whole(a.held_weight * kWeightSteps), wanted, number,
-           static_cast<std::uint64_t>(hold), static_cast<std::uint64_t>(a.parts),
-           static_cast<std::uint64_t>(owed), last}};
+  LeaseRequest request;
+  request.used = static_cast<std::uint64_t>(used);
+  request.level = level;
+  request.weight = whole(a.held_weight * kWeightSteps);
+  request.wanted = wanted;
+  request.number = number;
+  request.hold = static_cast<std::uint64_t>(hold);
+  request.parts = static_cast<std::uint64_t>(a.parts);
+  request.owed = static_cast<std::uint64_t>(owed);
+  request.report = last;
+  return {plan, a.hash, request};
 }
 
 }  // namespace cranemux::ledger
--- a/src/ledger/mail.cpp
+++ b/src/ledger/mail.cpp
@@ -11,24 +11,13 @@
 namespace cranemux::ledger {
 namespace {
 
-constexpr std::uint8_t kTrusting = 8, kGuarded = 6;  // versions
-constexpr std::size_t kHead = 3, kEntry = 5, kWord = kEntry + 1;
-constexpr int kFigures[2][4] = {{9, 6, 1, -1}, {8, 6, 2, -1}};  // by code; -1: there is none
-constexpr Time kWordsGather = std::chrono::milliseconds(250);   // words of who is throttled, for one datagram
+constexpr std::uint8_t kTrusting = 8, kGuarded = 6;            // versions
+constexpr std::size_t kHead = 3;                               // bytes, at least
+constexpr Time kWordsGather = std::chrono::milliseconds(250);  // words of who is throttled, for one datagram
 constexpr Time kSigns = std::chrono::seconds(1);   // a member set aside is heard at least so often
 constexpr Time kSilent = std::chrono::seconds(3);  // without a sign: it is gone, or cut off from here
 constexpr Time kLookEvery = std::chrono::milliseconds(10);
 
-unsigned code_of(Kind kind) { return static_cast<unsigned>(kind == Kind::throttle ? Kind::hand : kind); }
-Kind kind_of(unsigned code, bool guarded) {
-  const auto kind = static_cast<Kind>(code);
-  return kind == Kind::hand && !guarded ? Kind::throttle : kind;
-}
-void put_head(std::string& out, Kind kind, std::uint32_t plan, std::uint32_t customer) {
-  out += static_cast<char>(code_of(kind) | plan << 2U);
-  put_fixed(out, customer, 4);
-}
-
 membership::Settings members_of(const MailTerms& terms) {
   membership::Settings out;
   out.members = terms.members;
@@ -40,6 +29,10 @@
   return out;
 }
 
+Entry entry_of(const ThrottleWord& word) {
+  return {word.plan, word.customer, ShedShare{static_cast<std::uint64_t>(word.share)}};
+}
+
 }  // namespace
 
 Mail::Mail(const MailTerms& terms, Time now)
@@ -71,17 +64,13 @@
 void Mail::write(int to, const Entry& entry) {
   if (!terms_.flows || to == terms_.self) return;
   std::string out;
-  put_head(out, entry.kind, entry.plan, entry.customer);
-  const int figures = kFigures[terms_.guarded][code_of(entry.kind)];
-  for (int i = 0; i < figures; ++i) put(out, entry.figures[static_cast<std::size_t>(i)]);
+  append(out, entry, terms_.guarded);
   auto& entries = peers_[static_cast<std::size_t>(to)].entries;
   call(to);
   if (most_head() + entries.size() + out.size() <= most_body()) entries += out;
 }
 
-void Mail::tell(int to, const ThrottleWord& word) {
-  write(to, {Kind::throttle, word.plan, word.customer, {static_cast<std::uint64_t>(word.share)}});
-}
+void Mail::tell(int to, const ThrottleWord& word) { write(to, entry_of(word)); }
 
 std::string Mail::message(int to, Time now) {
   auto out = body(to, now);
@@ -100,17 +89,15 @@
     put_fixed(out, terms_.life, 2);
     out += entries;
     if (to < tells_) {
-      words_.ride(to, most_body() - std::min(most_body(), out.size()), kWord, [&](const ThrottleWord& w) {
-        put_head(out, Kind::throttle, w.plan, w.customer);
-        put(out, static_cast<std::uint64_t>(w.share));
-      });
+      words_.ride(to, most_body() - std::min(most_body(), out.size()), kShedShareBytes,
+                  [&](const ThrottleWord& word) { append(out, entry_of(word), terms_.guarded); });
     }
     return out;
   }
   out = head(kGuarded, terms_.life, rights_->say(to, now)) + entries;
   if (out.size() + 1 >= most_body()) return out;
   const auto news = members_->ride(most_body() - out.size() - 1, now);
-  if (!news.empty()) out += static_cast<char>(Kind::news) + news;
+  if (!news.empty()) out += static_cast<char>(kNewsCode) + news;
   return out;
 }
 
@@ -159,24 +146,15 @@
     members_->heard(from, now);
   }
   while (at < in.size()) {
-    Entry entry;
-    const auto first = static_cast<unsigned char>(in[at]);
-    entry.kind = kind_of(first & 3U, terms_.guarded);
-    entry.plan = first >> 2U;
-    if (entry.kind == Kind::news && terms_.guarded) {
+    if (code_of(in, at) == kNewsCode && terms_.guarded) {
       members_->told(from, in.substr(at + 1), now);
       break;
     }
-    const int figures = kFigures[terms_.guarded][first & 3U];
-    if (entry.kind == Kind::throttle && !set_aside(from, terms_.members, terms_.aside)) break;
-    if (figures < 0 || at + kEntry > in.size()) break;
-    entry.customer = static_cast<std::uint32_t>(fixed(in, at + 1, 4));
-    at += kEntry;
-    bool whole = true;
-    for (int i = 0; i < figures && whole; ++i)
-      whole = get(in, at, entry.figures[static_cast<std::size_t>(i)]);
-    if (!whole) break;
-    out.entries.push_back(entry);
+    const auto entry = read_entry(in, at, terms_.guarded);
+    if (!entry) break;
+    const bool sheds = std::holds_alternative<ShedShare>(entry->message);
+    if (sheds && !set_aside(from, terms_.members, terms_.aside)) break;
+    out.entries.push_back(*entry);
   }
   return out;
 }
--- a/src/ledger/mail.h
+++ b/src/ledger/mail.h
@@ -1,21 +1,12 @@
 // The mail between gatekeepers about quotas: entries wait for messages, messages for the budget, so that no
 // gatekeeper is sent more than it takes in. Entries that are lost are asked again. Free of I/O.
 //
-// A message is a head, then entries, then a checksum of both (checksum.h). Head: version (1), life of the
-// sender (2, little endian); where quotas are guarded more follows (frame.h). An entry: kind and plan (1: two
-// bits and six), customer (4, little endian), and figures as varints:
-//   ask    used, level, weight, wanted, number (guarded) or turn, hold in 10 ms, parts of the ledger, owed;
-//          trusting: 0, 1 for a report only, from 2 on for one by a word of who is throttled: 2 and the share
-//          in hundredths; of reports wanted is what was refused by that word, in units since the last one
-//   grant  life of who asked, limit, level, number or turn, pause in 50 ms; guarded: whether the keeper has
-//          the right; trusting: whether the store is far from empty
-//   hand   level, number; guarded only: a ledger on its way to its keeper
-//   throttle  share in hundredths; trusting only, with hand's bits: of a member set aside, so much of what is
-//          asked for that customer may go
-//   news   of the members (membership.h), until the message's end; guarded only
+// A datagram is a head, then entries (messages.h), then a checksum of both (checksum.h). Head: version (1),
+// life of the sender (2, little endian); where quotas are guarded more follows (frame.h). An entry: kind and
+// plan (1: two bits and six), customer (4, little endian), and its message's fields. Where quotas are
+// guarded, news of the members (membership.h) may follow, until the datagram's end.
 #pragma once
 
-#include <array>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -24,21 +15,13 @@
 #include <string_view>
 #include <vector>
 
-#include "ledger/figures.h"
+#include "ledger/messages.h"
 #include "ledger/rights.h"
 #include "ledger/throttle.h"
 #include "membership/membership.h"
 
 namespace cranemux::ledger {
 
-enum class Kind : std::uint8_t { ask, grant, hand, news, throttle };
-struct Entry {
-  Kind kind = Kind::ask;
-  std::uint32_t plan = 0;  // its number in the settings
-  std::uint32_t customer = 0;
-  std::array<std::uint64_t, 9> figures{};
-};
-
 struct MailTerms {
   int members = 1, self = 0;
   std::uint16_t life = 0;
--- a/tests/damage_test.cpp
+++ b/tests/damage_test.cpp
@@ -86,7 +86,7 @@
     const std::chrono::nanoseconds now(kSecond);
     cranemux::ledger::Mail sender(terms, now);
     terms.self = 1;
-    sender.write(1, {cranemux::ledger::Kind::ask, 0, 77, {12, 50, 3, 4, 9, 1, 1, 0, 0}});
+    sender.write(1, {0, 77, cranemux::ledger::LeaseRequest{12, 50, 3, 4, 9, 1, 1, 0, 0}});
     std::string message;
     sender.post(now, [&](int, std::string bytes) { message = std::move(bytes); });
     ASSERT_FALSE(message.empty());
