--- a/tests/soak_run.cpp
+++ b/tests/soak_run.cpp
@@ -155,7 +155,7 @@
         kill(one, event.lasts);
         break;
       case Fault::node_unlisted:
-        set_listed(false);
+        if (tier_.unlisted.empty()) set_listed(false);
         break;
       case Fault::reloads:
         if (takes_part(one)) begin_reloads(one);
@@ -189,7 +189,7 @@
         start_again(one);
         break;
       case Fault::node_unlisted:
-        set_listed(true);
+        if (!goes_on(Fault::node_unlisted)) set_listed(true);
         break;
       case Fault::stopped:
         signal(one, SIGCONT);
