--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -98,14 +98,16 @@
 }
 
 // A client that begins a request of 32 MB, finds that nothing moves any more, and leaves. Returns how much
-// was taken until then; 0 where it was answered.
+// was taken until then; 0 where it was answered or ended.
 std::size_t probe(int number, int port) {
   const auto socket = connect(port);
   if (!socket.open()) throw CannotRun("a client cannot connect");
   const auto text =
       booking("p" + std::to_string(number), 300 + static_cast<unsigned>(number), kLongest).text();
   const auto taken = write_taken(socket, text);
-  return taken < text.size() ? taken : 0;
+  std::string in;
+  const bool waits = socket.read(in, Clock::now()) == Socket::Read::nothing;  // neither answered nor ended
+  return taken < text.size() && waits ? taken : 0;
 }
 
 // One client with one request.
