--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -81,7 +81,7 @@
 
 // ---- the record ---------------------------------------------------------------------------------
 
-Record::Record(const std::string& path) : out_(path) {
+Record::Record(const std::string& path) : out_(path, std::ios::app) {
   if (!out_) throw CannotRun("cannot write " + path);
 }
 
@@ -450,6 +450,7 @@
       run(variable("CASE_RUN")),
       folder(variable("CASE_FOLDER")),
       record(variable("CASE_RECORD")) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the case never outlives its script
   const char* value = std::getenv("TROUBLE");
   trouble = !value || std::string_view(value) != "0";
 }
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -34,7 +34,8 @@
   using std::runtime_error::runtime_error;
 };
 
-// record.txt: one line for each thing that was run, sent or answered, with milliseconds since the start.
+// record.txt, which run.sh has begun: one line for each thing that was run, sent or answered, with
+// milliseconds since the start.
 class Record {
  public:
   explicit Record(const std::string& path);
