Begin a request's time once its last byte is here, also while it cannot be read

Cause: a worker that takes no more fills the send queue to it (3.8 MB), then the body's pipe (1 MB), at which HttpChannel::run reads no further, then the client connection's receive buffer.

Ruled out: answers lost on the way (nothing was written there) and the module's deadlines (bodies that were read whole got 502 in 0.75 s at the same workers).

The time is counted from the look before; Uploaded carries how long the byte has waited. This works whatever keeps the bytes from being read, and a body whose end is still to come has all its time, however slowly its worker takes it.

--- a/include/cranemux/decision_module.h
+++ b/include/cranemux/decision_module.h
@@ -161,12 +161,13 @@
   double units = 1;           // of the quota, at most Settings::most_units
   int first = 0, spread = 1;  // the customer's gateways: `spread` of them from index `first`, cyclically
   bool repeat = false;        // known to be a client's retry
-  bool uploading = false;     // its body is not complete; its budget starts with Uploaded
+  bool uploading = false;     // its body is not complete; its budget starts at the time that Uploaded tells
 };
 
-// The last byte of a request's body has arrived.
+// The last byte of a request's body has arrived, `waited` ago at most.
 struct Uploaded {
   std::string request;
+  Nanos waited = 0;
 };
 
 // The first byte of an answer has arrived. Not used by the module.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -109,14 +109,14 @@
   ++use.rpcs;
 }
 
-void Core::uploaded(RpcId id) {
+void Core::uploaded(RpcId id, nanoseconds waited) {
   const auto at = rpcs_.find(id);
   if (at == rpcs_.end() || !at->second.channel) return;
   auto& rpc = at->second;
   guards_.erase({rpc.guard, id});
-  rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, rpc.terms.budget - kGuard);
+  rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, rpc.terms.budget - waited - kGuard);
   guards_.emplace(rpc.guard, id);
-  push(cranemux::Uploaded{std::to_string(id)});
+  push(cranemux::Uploaded{std::to_string(id), waited.count()});
 }
 
 void Core::abandoned(RpcId id) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -32,7 +32,7 @@
   double units = 1;
   int first = 0, spread = 1;
   bool repeat = false;
-  bool uploading = false;  // its last byte has yet to come: its time begins with `uploaded`
+  bool uploading = false;  // its last byte has yet to come: its time begins before `uploaded`, by `waited`
 };
 
 // What call attempts carry to a worker: made by a front, read by the attempt layer only.
@@ -121,7 +121,8 @@
   std::string guard_report() const;  // see DecisionModule
 
   RpcId take(RpcTerms terms, std::shared_ptr<const Payload> payload, std::shared_ptr<Channel> channel);
-  void uploaded(RpcId rpc);
+  // The last byte of an RPC that was uploading has been on this machine for `waited`, at most.
+  void uploaded(RpcId rpc, nanoseconds waited);
   void abandoned(RpcId rpc);        // its client has gone
   void attempt_written(RpcId rpc);  // its last byte has gone to the worker
   void attempt_ended(RpcId rpc, int attempt, AttemptResult&& result);
--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -367,7 +367,7 @@
     job.arrived = now_;
     if (settings_.dedicated_leaders > 0) job.shed_draw = random_fraction();
     job.aim_end = job.deadline = now_ + kMaxUploadTime;
-    if (!request.uploading) set_deadlines(job);
+    if (!request.uploading) set_deadlines(job, now_);
     const auto hold = static_cast<Nanos>(kHoldAimShare * static_cast<double>(job.klass->aim));
     job.hold_until = std::min(now_ + std::min(kMaxHold, hold), job.aim_end);
     job.account = ledger::hash_of(request.customer);
@@ -393,14 +393,15 @@
     if (at->second.admitted || at->second.done) held_requests_.pop_back();
   }
 
-  // Sets the times of a request whose last byte has come: its budget counts from now.
-  void set_deadlines(Job& job) {
-    job.deadline = now_ + job.request.budget;
+  // Sets the times of a request whose last byte came at `start`, from which its budget counts.
+  void set_deadlines(Job& job, Nanos start) {
+    job.deadline = start + job.request.budget;
     const auto age = age_of(job.request, *job.klass);
-    job.aim_end = std::min(now_ + job.klass->aim - age, job.deadline - kAnswerMargin);
+    job.aim_end = std::min(start + job.klass->aim - age, job.deadline - kAnswerMargin);
   }
   void on(const Uploaded& uploaded) {
-    if (const auto at = jobs_.find(uploaded.request); at != jobs_.end()) set_deadlines(at->second);
+    const auto at = jobs_.find(uploaded.request);
+    if (at != jobs_.end()) set_deadlines(at->second, now_ - uploaded.waited);
   }
 
   // Returns the time since the client's first try, from which the aim counts. A later try's budget is the
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -64,6 +64,7 @@
     }
     if (in_.empty() && spoke_ && !engaged()) since_ = net::Clock::now();
     in_.append(piece.data(), count);
+    if (upload_) upload_->read += count;
     uploading() ? feed() : process();
     counted();
     if (uploading() ? upload_->pipe->full() : engaged() && in_.size() > kMostAhead) {
@@ -189,6 +190,7 @@
     if (const auto channel = weak.lock()) channel->resume();
   };
   in_.erase(0, message.size);
+  upload_->read = in_.size();
   need_ = 0;
   feed();
   return true;
@@ -207,11 +209,9 @@
   if (state == http::BodyReader::State::done) {
     upload_->done = true;
     pipe->end();
-    if (upload_->asked) {
-      since_ = net::Clock::now();
-      return server_.front_.uploaded(rpc_);
-    }
-    return ask(true);
+    if (!upload_->asked) return ask(true);
+    since_ = net::Clock::now();
+    return begin_time({});
   }
   if (!upload_->asked && pipe->full()) ask(false);
 }
@@ -223,12 +223,41 @@
   begin(message);
   if (!whole) since_ = since;  // it is still being read
   upload_->asked = true;
+  upload_->looked = net::Clock::now();
   ++server_.counters_.bodies_relayed;
   Incoming incoming{message, shared_from_this()};
   incoming.body = upload_->pipe;
   took(server_.front_.request(incoming));
 }
 
+void HttpChannel::begin_time(std::chrono::nanoseconds waited) {
+  if (!std::exchange(upload_->timed, true)) server_.front_.uploaded(rpc_, waited);
+}
+
+// While the worker takes no more, the last byte may be here and stay unread. The client has done its part
+// then, and its time runs: from the look before, as the byte may have come right after it.
+void HttpChannel::look_for_end(net::Clock::time_point now) {
+  if (broken_ || !uploading() || !upload_->asked || upload_->timed) return;
+  boost::system::error_code error;
+  const auto unread = socket_.available(error);
+  const auto looked = std::exchange(upload_->looked, now);
+  if (error || !upload_->arrival.complete(
+                   {upload_->reader, in_, upload_->read, unread, [this, unread] { return peek(unread); }}))
+    return;
+  ++server_.counters_.bodies_ended_unread;
+  server_.logger_.log(metrics::Level::debug,
+                      "the end of a body has arrived and its worker takes no more: ", unread,
+                      " bytes are unread");
+  begin_time(now - looked);
+}
+
+std::string HttpChannel::peek(std::size_t count) {
+  std::string bytes(count, '\0');
+  const auto got = ::recv(socket_.native_handle(), bytes.data(), count, MSG_PEEK | MSG_DONTWAIT);
+  bytes.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+  return bytes;
+}
+
 // Whoever empties the pipe is told that no more will come.
 void HttpChannel::end_upload() {
   if (const auto upload = std::exchange(upload_, nullptr)) {
@@ -582,6 +611,7 @@
     if (lifecycle_.closes_idle(now)) drain();
     const bool crowded = channels_.size() > most() / 2;
     for (auto* channel : channels()) {
+      channel->look_for_end(now);
       // None of those that follow is gone: only what times out itself leaves.
       if (now - channel->since() >= time_limit(channel->state(), crowded, channel->read()))
         channel->time_out();
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -14,6 +14,7 @@
 
 #include "attempt/body_pipe.h"
 #include "core/core.h"
+#include "front/body_arrival.h"
 #include "front/channel_policy.h"
 #include "http/http.h"
 #include "lifecycle/lifecycle.h"
@@ -76,8 +77,9 @@
            (upload_ ? upload_->pipe->held() : 0);
   }
   void cut();
-  void bound_kernel(int bytes);  // what the kernel holds of its answers
-  void break_off();              // in the middle of an answer, so that the client can tell
+  void bound_kernel(int bytes);                   // what the kernel holds of its answers
+  void break_off();                               // in the middle of an answer, so that the client can tell
+  void look_for_end(net::Clock::time_point now);  // of a body that is not read on
   void time_out();  // its limit is over: says so, where the client has begun a request, and closes
   bool evict();     // closes it at once, unless something has come on it that is not read yet
 
@@ -95,13 +97,18 @@
     http::BodyReader reader;
     const std::shared_ptr<attempt::BodyPipe> pipe;
     std::size_t received = 0;
-    bool asked = false, done = false;  // the RPC is taken; the last byte is there
-    net::Clock::time_point paused;
+    std::uint64_t read = 0;  // bytes of the connection, with what frames the body
+    BodyArrival arrival;
+    bool asked = false, done = false;  // the RPC is taken; the last byte has been read
+    bool timed = false;                // the last byte has reached this machine: the RPC's time runs
+    net::Clock::time_point paused, looked;
   };
   bool uploading() const { return upload_ && !upload_->done; }
   bool begin_upload(const http::Message& message);
   void feed();
-  void ask(bool whole);  // puts the upload to the front
+  void ask(bool whole);                              // puts the upload to the front
+  void begin_time(std::chrono::nanoseconds waited);  // of an upload that was asked for
+  std::string peek(std::size_t count);               // what comes next, left unread
   void end_upload();
   void fail(int status);  // of a request that is not whole
   void reply(const Reply& reply);
@@ -162,9 +169,10 @@
   virtual Reply answer(core::FinalAnswer&& answer, const std::shared_ptr<void>& context) = 0;
   virtual Reply malformed(int status) = 0;
   // Of a body that is longer than a channel holds: what is to be said to its head at once. None: it may come,
-  // `request` with what has come of it, and `uploaded` with its last byte, unless that was there.
+  // `request` with what has come of it, and `uploaded` with its last byte, unless that was there. `waited`:
+  // for how long, at most, that byte has been on this machine.
   virtual std::optional<Reply> long_body(const http::Message&) { return malformed(413); }
-  virtual void uploaded(core::RpcId) {}
+  virtual void uploaded(core::RpcId, std::chrono::nanoseconds /*waited*/) {}
   virtual Reply unavailable(std::chrono::nanoseconds come_back, const http::Message& message) = 0;
   virtual void abandoned(core::RpcId rpc, const std::shared_ptr<void>& context) = 0;
   // The class that a request belongs to, empty where it can't be told: for routes that go by it.
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -21,7 +21,7 @@
     core::RpcTerms terms;
     return read(head, true, terms);
   }
-  void uploaded(core::RpcId rpc) override { core_.uploaded(rpc); }
+  void uploaded(core::RpcId rpc, std::chrono::nanoseconds waited) override { core_.uploaded(rpc, waited); }
   void abandoned(core::RpcId rpc, const std::shared_ptr<void>&) override { core_.abandoned(rpc); }
   // Ids of requests in flight, here and at another process of this gatekeeper.
   std::vector<std::string> open_ids() const { return {open_->begin(), open_->end()}; }
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -63,6 +63,10 @@
   // Moves data from the start of `in` to the end of `out`. What comes after the body stays in `in`.
   // `ended`: nothing more will come.
   State take(std::string& in, std::string& out, bool ended = false);
+  // Bytes that are still to be taken. None where no length was told.
+  std::optional<std::uint64_t> length_left() const {
+    return framing_.kind == Framing::Kind::length ? std::optional(left_) : std::nullopt;
+  }
 
  private:
   enum class Part { size, data, end, trailer };  // of a chunk
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -41,7 +41,7 @@
   Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
   Count management_calls = 0, management_evicted = 0;
-  Count answers_relayed = 0, answers_broken_off = 0, bodies_relayed = 0;
+  Count answers_relayed = 0, answers_broken_off = 0, bodies_relayed = 0, bodies_ended_unread = 0;
   Count handovers = 0, handovers_refused = 0, handover_dropped = 0, takeovers = 0;
 
   template <typename Visit>
@@ -130,6 +130,7 @@
     visit("answers_relayed", self.answers_relayed);
     visit("answers_broken_off", self.answers_broken_off);
     visit("bodies_relayed", self.bodies_relayed);
+    visit("bodies_ended_unread", self.bodies_ended_unread);
     visit("handovers", self.handovers);
     visit("handovers_refused", self.handovers_refused);
     visit("handover_dropped", self.handover_dropped);
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -1,9 +1,13 @@
 // Long answers and slow clients: what flows through, what is held, and what either side is told when the
 // other breaks off.
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <cstdlib>
 #include <deque>
+#include <fstream>
+#include <sstream>
 
 #include "http/http.h"
 #include "testing/site.h"
@@ -64,6 +68,38 @@
       if (!text.empty()) stage_.play(milliseconds(1));
     }
   }
+  // Returns whether the other machine has taken all; false once nothing has moved for a while.
+  bool send_whole(std::string_view text) {
+    int held = 0;  // bytes that this machine has and the other has not taken
+    for (auto moved = Clock::now(); Clock::now() - moved < kStuck;) {
+      boost::system::error_code error;
+      const auto count = socket_.write_some(net::asio::buffer(text), error);
+      text.remove_prefix(error ? 0 : count);
+      const auto was = held;
+      ::ioctl(socket_.native_handle(), SIOCOUTQ, &held);
+      if (text.empty() && held == 0) return true;
+      if ((!error && count > 0) || held != was) moved = Clock::now();
+      stage_.play(milliseconds(1));
+    }
+    return false;
+  }
+  // Bytes that the other machine has taken, and the process there has not read: as Linux tells of its socket.
+  std::size_t unread_there() {
+    const auto port_of = [](const auto& endpoint) {
+      char text[16];
+      std::snprintf(text, sizeof text, "0100007F:%04X", endpoint.port());
+      return std::string(text);
+    };
+    std::ifstream table("/proc/net/tcp");
+    std::string line, number, local, remote, state, queues;
+    while (std::getline(table, line)) {
+      std::istringstream(line) >> number >> local >> remote >> state >> queues;
+      if (local != port_of(socket_.remote_endpoint()) || remote != port_of(socket_.local_endpoint()))
+        continue;
+      return std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
+    }
+    return 0;
+  }
   // Reads at most so much; false once the connection has ended.
   bool read(std::size_t most = 256 * 1024) {
     std::string piece(most, '\0');
@@ -100,6 +136,7 @@
   bool keeps = false;
 
  private:
+  static constexpr milliseconds kStuck{300};
   Stage& stage_;
   net::tcp::socket socket_;
 };
@@ -450,6 +487,64 @@
   EXPECT_EQ((reader.taken.empty() ? second : reader).taken.back().body, data);
 }
 
+// A worker whose process hangs: its machine takes what its buffer holds, and nothing is read.
+class HangingWorker {
+ public:
+  explicit HangingWorker(Stage& stage) : acceptor_(stage.io(), net::tcp::v4()) {
+    acceptor_.set_option(net::asio::socket_base::receive_buffer_size(64 * 1024));
+    acceptor_.bind({net::asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen();
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+ private:
+  net::tcp::acceptor acceptor_;
+};
+
+// Guards against requests that are never answered: their worker takes no more of the body, so the gatekeeper
+// reads no further, and the last byte, with which their time begins, stays in its machine's buffer.
+TEST_F(upload, is_answered_in_time_though_its_end_waits_unread_behind_a_worker_that_hangs) {
+  constexpr std::size_t kPiece = 16 * 1024;
+  constexpr milliseconds kInTime{4550};  // the request's time and half a second
+  HangingWorker worker(site.stage);
+  site.elsewhere["one"] = worker.address();
+  site.start();
+  const auto expect_answer = [&](Wire& wire, const char* what) {
+    EXPECT_TRUE(site.stage.play_until([&] { return !wire.read() || !wire.in.empty(); }, kInTime)) << what;
+    std::string answer;
+    EXPECT_TRUE(!wire.in.empty() && wire.answer(answer)) << what;
+    EXPECT_TRUE(wire.status == 502 || wire.status == 429) << what << " " << wire.status;
+  };
+  // Where chunks frame the body, it ends as soon as the gatekeeper reads no further.
+  const auto piece = chunked(std::string(kPiece, 'b'), kPiece);
+  const auto end = piece.find("0\r\nSome: trailer");
+  std::size_t sent = 0;
+  {
+    Wire wire(site.stage, site.port);
+    wire.send(request("chunks", "Transfer-Encoding: chunked\r\n", false));
+    const auto reads = [&] {
+      return site.stage.play_until([&] { return wire.unread_there() == 0; }, milliseconds(50));
+    };
+    while (reads()) {
+      ASSERT_LT(sent, 32 * kMega);
+      ASSERT_TRUE(wire.send_whole(std::string_view(piece).substr(0, end)));
+      sent += kPiece;
+    }
+    ASSERT_TRUE(wire.send_whole(std::string_view(piece).substr(end)));
+    expect_answer(wire, "chunks");
+  }
+  // A told length is about the same, less where that could not be taken whole.
+  for (bool whole = false; !whole; sent -= 2 * kPiece) {
+    ASSERT_GT(sent, kMega);
+    Wire wire(site.stage, site.port);
+    const std::string data(sent + 4 * kPiece, 'b');
+    const auto head = "Content-Length: " + std::to_string(data.size()) + "\r\n";
+    whole = wire.send_whole(request(std::to_string(sent), head, false) + data);
+    if (whole) expect_answer(wire, "length");
+  }
+  EXPECT_TRUE(site.stage.play_until([&] { return site.figure("router_pending") == 0; }));
+}
+
 TEST_F(upload, an_answer_before_the_end) {
   reader.early =
       "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
