Let a planned end wait for the long answers that are under way

Cause: Gatekeeper::wind_down ended the process at longest_drain() + kLastAnswers. By then each RPC has its answer, but for the core a long answer is given with its first bytes (Attempts::begin_long); what is left is between BodyRelay and the channel, for which nothing asked. Ruled out: the relay, the channels' drain and their time limits.

Change: lifecycle::PlannedEnd, free of I/O: the process stays while any answer is not written whole, and 100 ms longer. From the longest drain on nothing is accepted, and what has no answer gets one at once, as before. Each answer that is waited for has its own bounds (10 s without movement, 8 s at its end).

--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -657,7 +657,6 @@
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   pause_.cancel();
-  sweeper_.cancel();
 }
 
 }  // namespace cranemux::front
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -198,7 +198,7 @@
   ~ChannelServer();
   void start();
   void drain();  // closes channels between requests, and lets streams end; still accepts
-  void stop();   // accepts no more
+  void stop();   // accepts no more; channels go on
   // Another process that has the same socket accepts instead; or this one again.
   void pause(bool paused);
   // So many channels are another process's for now.
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 
+#include "lifecycle/planned_end.h"
+
 namespace cranemux {
 namespace {
 
 constexpr std::chrono::milliseconds kLook{10};
 constexpr std::chrono::milliseconds kLongestCounted{3000};  // of a class's deadline, at a planned end
 constexpr std::chrono::milliseconds kAfterDeadline{550};    // SIGKILL comes 0.7 s after it at the earliest
-constexpr std::chrono::milliseconds kLastAnswers{100};      // to reach clients whose bytes are not all read
 constexpr std::chrono::milliseconds kReap{50};
 constexpr const char* kOnlyPool = "main";
 
@@ -192,7 +193,7 @@
 metrics::Figures Gatekeeper::figure() const {
   metrics::Figures figures;
   figures.lanes = counters().lanes;
-  for (const auto& listener : listeners_) figures.pending += listener.channels->busy();
+  figures.pending = busy_channels();
   for (const auto& [name, member] : pools_) {
     figures.members += member.pool->nodes().size();
     figures.members_unavailable += member.pool->core().avoided();
@@ -270,18 +271,15 @@
 }
 
 net::awaitable<void> Gatekeeper::wind_down() {
-  const auto start = net::Clock::now();
-  const auto idle = [this] {
-    return in_flight() == 0 && std::all_of(listeners_.begin(), listeners_.end(),
-                                           [](const auto& listener) { return listener.channels->idle(); });
-  };
-  const auto end = start + longest_drain();
-  bool given_up = false;
-  for (auto now = start; now < end + kLastAnswers; now = net::Clock::now()) {
-    // What nobody has answered in time is answered now: nothing that was taken is lost. A process that ends
-    // over bytes that are not read resets their connection, and the answer goes with it: so it stays a
-    // little.
-    if (now >= end && !std::exchange(given_up, true)) give_up();
+  lifecycle::PlannedEnd end(net::Clock::now(), longest_drain());
+  bool late = false;
+  for (;;) {
+    const auto now = net::Clock::now();
+    if (end.gives_up(now)) {
+      give_up();
+      if (!std::exchange(late, true)) stop_accepting();
+    }
+    if (end.over(now, busy_channels())) break;
     if (lifecycle_.closes_idle(now)) {
       if (idle()) break;
       for (auto& listener : listeners_) listener.channels->drain();
@@ -290,10 +288,29 @@
     co_await drain_timer_.async_wait(net::kResult);
   }
   give_up();
-  for (auto& listener : listeners_) listener.channels->stop();
+  stop_accepting();
   io_.stop();
 }
 
+void Gatekeeper::stop_accepting() {
+  for (auto& listener : listeners_) listener.channels->stop();
+  if (const auto left = busy_channels(); left > 0) {
+    logger_.log(metrics::Level::info, "the planned end waits for ", left, " answers that are under way");
+  }
+}
+
+bool Gatekeeper::idle() const {
+  return in_flight() == 0 && std::all_of(listeners_.begin(), listeners_.end(),
+                                         [](const auto& listener) { return listener.channels->idle(); });
+}
+
+std::size_t Gatekeeper::busy_channels() const {
+  std::size_t sum = 0;
+  for (const auto& listener : listeners_) sum += listener.channels->busy();
+  return sum;
+}
+
+// What nobody has answered in time is answered now: nothing that was taken is lost.
 void Gatekeeper::give_up() {
   for (auto& [name, member] : pools_) member.pool->core().give_up();
   for (auto& member : leaving_) member.pool->core().give_up();
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -97,9 +97,12 @@
   void forget(const Member& member);
   bool reclaim(const pool::Pool& asker);
   std::size_t in_flight() const;
+  std::size_t busy_channels() const;  // with a request that is taken and not yet ended
+  bool idle() const;                  // no request, and no channel
   net::awaitable<void> reap();
   net::awaitable<void> wind_down();
-  void give_up();  // answers all that is left
+  void give_up();         // answers all that is left
+  void stop_accepting();  // what is under way goes on
   std::chrono::nanoseconds longest_drain() const;
 
   std::string drain_command(const std::string& pool, const std::string& node, bool drained);
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -2,6 +2,7 @@
 // other breaks off.
 #include <gtest/gtest.h>
 #include <linux/sockios.h>
+#include <signal.h>
 #include <sys/ioctl.h>
 
 #include <cstdlib>
@@ -418,6 +419,72 @@
   metrics::Logger logger_{2, metrics::Level::error};
 };
 
+// A worker that answers each request with so many pieces, one after another.
+class PacedWorker {
+ public:
+  explicit PacedWorker(Stage& stage)
+      : stage_(stage), acceptor_(stage.io(), {net::asio::ip::make_address("127.0.0.1"), 0}) {
+    net::spawn(stage_.io(), logger_, "paced worker", accept());
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+  std::size_t pieces = 0;
+  milliseconds pace{};
+  static constexpr std::size_t kPiece = 64 * 1024;  // bytes
+
+ private:
+  net::awaitable<void> accept() {
+    for (;;) {
+      auto [error, socket] = co_await acceptor_.async_accept(net::kResult);
+      if (error) co_return;
+      net::spawn(stage_.io(), logger_, "paced worker",
+                 serve(std::make_shared<net::tcp::socket>(std::move(socket))));
+    }
+  }
+  net::awaitable<void> serve(std::shared_ptr<net::tcp::socket> socket) {
+    std::string in;
+    http::Message head;
+    while (http::parse_head(in, http::Kind::request, head).state != http::State::whole) {
+      if (co_await net::read_more(*socket, in) == 0) co_return;
+    }
+    auto out = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces * kPiece) + "\r\n\r\n";
+    net::asio::steady_timer timer(stage_.io());
+    for (std::size_t i = 0; i < pieces; ++i) {
+      out += std::string(kPiece, 'a');
+      const auto [error, count] =
+          co_await net::asio::async_write(*socket, net::asio::buffer(out), net::kResult);
+      if (error) co_return;
+      out.clear();
+      timer.expires_after(pace);
+      co_await timer.async_wait(net::kResult);
+    }
+  }
+
+  Stage& stage_;
+  net::tcp::acceptor acceptor_;
+  metrics::Logger logger_{2, metrics::Level::error};
+};
+
+// Guards against answers that a planned end cuts off: the worker still gives and the client still takes when
+// every request's time is over, and the process used to end by itself then.
+TEST(planned_end, long_answers_that_are_under_way_come_whole) {
+  Site site(std::getenv("CRANEMUX_PROGRAM"));
+  PacedWorker worker(site.stage);
+  site.elsewhere["one"] = worker.address();
+  worker.pieces = 100;
+  worker.pace = milliseconds(50);  // 5 s in all; the longest drain is 3.55 s
+  auto& process = *site.start().program;
+  Wire wire(site.stage, site.port);
+  wire.send(request("long"));
+  while (wire.in.size() < PacedWorker::kPiece) ASSERT_TRUE(wire.read());
+  process.signal(SIGTERM);
+  std::string body;
+  EXPECT_TRUE(wire.answer(body)) << body.size() << " bytes came";
+  EXPECT_EQ(body.size(), worker.pieces * PacedWorker::kPiece);
+  EXPECT_TRUE(site.stage.play_until([&] { return !process.alive(); }, milliseconds(2000)));
+  EXPECT_EQ(process.wait(), 0);
+}
+
 class upload : public ::testing::Test {
  protected:
   upload() : site(std::getenv("CRANEMUX_PROGRAM")), reader(site.stage) {
--- a/tests/lifecycle_test.cpp
+++ b/tests/lifecycle_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "lifecycle/planned_end.h"
+
 namespace cranemux::lifecycle {
 namespace {
 
@@ -92,5 +94,24 @@
   EXPECT_FALSE(life.ready());
 }
 
+// Answers that are under way outlast every request's time; each moment with one puts the end off.
+TEST(planned_end, waits_for_answers_that_are_under_way) {
+  PlannedEnd end(kStart, milliseconds(2550));
+  EXPECT_FALSE(end.gives_up(kStart + milliseconds(2549)));
+  EXPECT_TRUE(end.gives_up(kStart + milliseconds(2550)));
+  EXPECT_FALSE(end.over(kStart + milliseconds(2640), 0));
+  EXPECT_FALSE(end.over(kStart + milliseconds(2650), 1));
+  EXPECT_FALSE(end.over(kStart + milliseconds(9000), 4));
+  EXPECT_FALSE(end.over(kStart + milliseconds(9099), 0));
+  EXPECT_TRUE(end.over(kStart + milliseconds(9100), 0));
+}
+
+TEST(planned_end, comes_once_all_had_time_for_an_answer) {
+  PlannedEnd end(kStart, milliseconds(2550));
+  EXPECT_FALSE(end.over(kStart, 3));  // requests that are answered in time put nothing off
+  EXPECT_FALSE(end.over(kStart + milliseconds(2649), 0));
+  EXPECT_TRUE(end.over(kStart + milliseconds(2650), 0));
+}
+
 }  // namespace
 }  // namespace cranemux::lifecycle
