End an attempt whose worker takes nothing of a long body for 10 s

Seen: a client that writes a long body to a worker that hangs gets no answer for an hour, and the attempt, its connection and its channel stay as long.

Cause: Attempts::send_body wrote with no limit of its own. The attempt's limit is the module's hour, as the request's time begins with its last byte only.

Where the worker's machine has taken none of them for 10 s, the attempt ends as one that has not run. What was written is no measure: the system held 3.8 MB for each worker and let the gatekeeper go on writing only once a third of that had gone, which a worker at 64 kB a second takes 20 s for. Where the system does not tell, nothing ends.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -1,5 +1,7 @@
 #include "attempt/attempts.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -33,6 +35,13 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// Bytes that were written and the other machine has not taken. None: the system does not tell.
+std::optional<std::int64_t> untaken(net::tcp::socket& socket) {
+  int bytes = 0;
+  if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) return std::nullopt;
+  return bytes;
+}
+
 // Nobody knows how long it will be, and it takes its time. `since`: its first byte.
 bool dawdles(const http::Framing& framing, Clock::time_point since) {
   return framing.kind != http::Framing::Kind::length && Clock::now() - since > kDawdles;
@@ -361,14 +370,22 @@
   co_return result;
 }
 
-// As it comes, and in chunks where nobody knows its length. False: not all of it has gone.
+// False: not all of it has gone.
 net::awaitable<bool> Attempts::send_body(Call& call, BodyPipe& body) {
-  auto& socket = call.connection->socket;
   if (!body.rewind()) co_return false;
+  call.body = BodyProgress{.since = Clock::now()};
+  const bool whole = co_await write_body(call, body);
+  body.on_more = {};
+  call.body.reset();
+  co_return whole;
+}
+
+// As it comes, and in chunks where nobody knows its length.
+net::awaitable<bool> Attempts::write_body(Call& call, BodyPipe& body) {
+  auto& socket = call.connection->socket;
   const bool chunks = !body.length().has_value();
   body.on_more = [&call] { call.more.cancel(); };
-  bool good = true;
-  while (good && call.stop == Stop::none && !body.broken()) {
+  while (call.stop == Stop::none && !body.broken()) {
     auto piece = body.take(kBodyPiece);
     const bool last = body.ended();
     if (piece.empty() && !last) {
@@ -380,16 +397,25 @@
     if (chunks) piece = http::chunk(std::move(piece), last);
     const auto [error, count] =
         co_await net::asio::async_write(socket, net::asio::buffer(piece), net::kResult);
-    good = !error;
-    if (good && last) {
-      body.on_more = {};
-      co_return true;
-    }
+    if (error) co_return false;
+    call.body->written += count;
+    if (last) co_return true;
   }
-  body.on_more = {};
   co_return false;
 }
 
+// Once its worker's machine has taken nothing of its body for too long. Such a call has not run.
+void Attempts::end_if_silent(Call& call) {
+  if (!call.body || !call.connection || !call.connection->socket.is_open()) return;
+  const auto queued = untaken(call.connection->socket);
+  if (!queued) return;
+  const auto now = Clock::now();
+  const auto taken = static_cast<std::int64_t>(call.body->written) - *queued;
+  const bool moves = std::exchange(call.body->taken, taken) != taken;
+  if (moves || *queued == 0) call.body->since = now;
+  if (now - call.body->since >= limits_.body_silence) close(call, Stop::timeout);
+}
+
 // The connection leaves this layer with the stream; the attempt has ended well.
 core::AttemptResult Attempts::begin_stream(Call& call, const http::Message& head) {
   auto& connection = *call.connection;
@@ -436,6 +462,7 @@
     const auto [error] = co_await sweeper_.async_wait(net::kResult);
     if (error) co_return;
     forget_left();
+    for (auto& [key, call] : calls_) end_if_silent(*call);
     const auto oldest = Clock::now() - limits_.connection_idle * 4 / 5;
     for (auto& [name, worker] : workers_) {
       while (!worker->idle.empty() && worker->idle.front()->idle_since < oldest) {
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -56,6 +56,8 @@
   std::chrono::nanoseconds connect_timeout{}, connection_idle{}, drain_grace{};
   // Workers that have said more than was asked for may say it a little late: their connections rest so long.
   std::chrono::nanoseconds rest = std::chrono::milliseconds(25);
+  // A worker whose machine takes nothing of a body for so long is dead, not slow.
+  std::chrono::nanoseconds body_silence = std::chrono::seconds(10);
 };
 
 class Attempts : public core::CallAttempts {
@@ -98,6 +100,11 @@
     std::uint64_t sent = 0, generation = 0;  // of its process
   };
   enum class Stop { none, cancelled, timeout, withdrawn };
+  struct BodyProgress {            // of a body that is being sent, in bytes
+    std::uint64_t written = 0;     // to the kernel
+    std::int64_t taken = 0;        // by the worker's machine, at the last look
+    net::Clock::time_point since;  // it has taken something
+  };
   struct Call : std::enable_shared_from_this<Call> {
     Call(net::asio::io_context& io) : timer(io), more(io) {}
     core::RpcId rpc = 0;
@@ -108,6 +115,7 @@
     net::Clock::time_point started, give_up, whole_by;
     std::shared_ptr<const core::Payload> payload;
     Stop stop = Stop::none;
+    std::optional<BodyProgress> body;
     bool written = false, no_room = false;
   };
 
@@ -115,6 +123,8 @@
   net::awaitable<bool> open(Call& call);
   net::awaitable<core::AttemptResult> exchange(Call& call);
   net::awaitable<bool> send_body(Call& call, BodyPipe& body);
+  net::awaitable<bool> write_body(Call& call, BodyPipe& body);
+  void end_if_silent(Call& call);
   core::AttemptResult begin_stream(Call& call, const http::Message& head);
   core::AttemptResult begin_long(Call& call, const http::Message& head, const http::Framing& framing);
   void log_end(const Call& call, cranemux::Result result, bool kept) const;
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -22,20 +22,25 @@
 // A request whose body is still on its way from the client.
 class Post : public Exchange {
  public:
+  explicit Post(std::size_t length = 10) : pipe(std::make_shared<BodyPipe>(length, 100)) {}
   std::string message(milliseconds) const override {
-    return "POST /api HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 10\r\n\r\n";
+    return "POST /api HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: " + std::to_string(*pipe->length()) +
+           "\r\n\r\n";
   }
   core::AttemptResult read(const http::Message&) const override { return {}; }
   std::shared_ptr<BodyPipe> body() const override { return pipe; }
-  std::shared_ptr<BodyPipe> pipe = std::make_shared<BodyPipe>(10, 100);
+  const std::shared_ptr<BodyPipe> pipe;
 };
 
 struct Called {
-  Called() {
+  explicit Called(std::chrono::nanoseconds silence = std::chrono::seconds(10)) : body_silence(silence) {
+    resolve(static_cast<std::uint16_t>(node.port()));
+  }
+  void resolve(std::uint16_t port) {
     config::ListEntry entry;
     entry.name = "one";
     entry.state = "active";
-    entry.address = {"127.0.0.1", static_cast<std::uint16_t>(node.port())};
+    entry.address = {"127.0.0.1", port};
     attempts.resolved({1, true, {entry}}, true);
   }
   ~Called() {
@@ -58,20 +63,21 @@
     return s;
   }
 
+  const std::chrono::nanoseconds body_silence;
   testing::Stage stage;
   testing::Node node{stage, "one"};
   metrics::Logger logger{STDERR_FILENO, metrics::Level::error};
   metrics::Counters counters;
   core::Core core{settings(), logger, counters};
   pool::Purse purse{std::make_shared<pool::SharedBudget>(8), {8, 8}};
-  Attempts attempts{
-      stage.io(),
-      core,
-      {std::chrono::seconds(5), std::chrono::seconds(30), std::chrono::seconds(1), std::chrono::hours(1)},
-      purse,
-      [] { return false; },
-      logger,
-      counters};
+  Attempts attempts{stage.io(),
+                    core,
+                    {std::chrono::seconds(5), std::chrono::seconds(30), std::chrono::seconds(1),
+                     std::chrono::hours(1), body_silence},
+                    purse,
+                    [] { return false; },
+                    logger,
+                    counters};
   std::shared_ptr<Exchange> payload = std::make_shared<Get>();
 };
 
@@ -119,6 +125,44 @@
   }
 }
 
+// A connection that comes up and on which nothing is read, as of a machine whose process hangs.
+class HangingNode {
+ public:
+  explicit HangingNode(net::asio::io_context& io)
+      : acceptor_(io, {net::asio::ip::make_address("127.0.0.1"), 0}) {}
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  net::tcp::acceptor acceptor_;  // its machine accepts
+};
+
+// Guards against attempts that stay for an hour at a worker that takes no more of a body: after a silence
+// they end, and have not run.
+TEST(Attempts, OneWhoseWorkerTakesNoMoreOfABodyEnds) {
+  Called called(milliseconds(100));
+  HangingNode hangs(called.stage.io());
+  called.resolve(hangs.port());
+  const auto post = std::make_shared<Post>(std::size_t{64} * 1024 * 1024);
+  called.attempts.start(1, 0, "one", {std::chrono::hours(1)}, post);
+  post->pipe->put(std::string(std::size_t{16} * 1024 * 1024, 'b'));
+  ASSERT_TRUE(called.ended());
+  EXPECT_EQ(called.counters.attempts_connect_failed, 1U);
+}
+
+// A client that takes its time over a body is not the worker's silence.
+TEST(Attempts, OneWhoseClientTakesItsTimeGoesOn) {
+  Called called(milliseconds(30));
+  const auto post = std::make_shared<Post>();
+  called.payload = post;
+  called.start();
+  post->pipe->put("01234");
+  called.stage.play(milliseconds(1200));  // past a sweep
+  post->pipe->put("56789");
+  post->pipe->end();
+  ASSERT_TRUE(called.ended());
+  EXPECT_EQ(called.counters.attempts_ok, 1U);
+}
+
 // What has gone out whole is the module's to call off.
 TEST(Attempts, OneThatIsWholeIsNotWithdrawn) {
   Called called;
