Hold attempts with a long body to their request's time, and tell workers no more than that

Where attempts are not cancelled, one of an upload that was answered as late stayed out for an hour.

Cause: a Send for a request that still uploads carries the hour of kMaxUploadTime; Attempts::exchange told it as it was, and nothing shortened it at Core::uploaded.

Change: AttemptLimits::told, the client's patience; CallAttempts::limit_patience, called when the request's time begins.

Test: upload.holds_little_and_counts_time_from_the_last_byte asks for 4000 now, and failed against the program before (3599999). Attempts.OneEndsWithTheTimeOfItsRequest, Attempts.TellsNoMoreThanItIsAllowedTo.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -123,6 +123,7 @@
   call->started = Clock::now();
   call->give_up = call->started + limits.patience;
   call->whole_by = limits.whole_by;
+  call->told = limits.told;
   const auto found = workers_.find(worker);
   if (found != workers_.end()) call->worker = found->second;
   calls_[{rpc, attempt}] = call;
@@ -134,6 +135,14 @@
   if (found != calls_.end()) close(*found->second, Stop::cancelled);
 }
 
+void Attempts::limit_patience(core::RpcId rpc, Clock::time_point at) {
+  for (auto next = calls_.lower_bound({rpc, 0}); next != calls_.end() && next->first.first == rpc; ++next) {
+    auto& call = *next->second;
+    call.give_up = std::min(call.give_up, at);
+    if (call.timer.expiry() > at) limit(call, at);
+  }
+}
+
 void Attempts::withdraw(core::RpcId rpc) {
   for (auto at = calls_.lower_bound({rpc, 0}); at != calls_.end() && at->first.first == rpc; ++at) {
     if (!at->second->written) close(*at->second, Stop::withdrawn);
@@ -301,7 +310,8 @@
   const auto& payload = static_cast<const Exchange&>(*call.payload);
   auto& connection = *call.connection;
   auto& socket = connection.socket;
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.give_up - Clock::now());
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::min<std::chrono::nanoseconds>(call.give_up - Clock::now(), call.told));
   const auto message = payload.message(std::max(left, std::chrono::milliseconds(1)));
   ++call.worker->sent;
   boost::system::error_code error, ignored;
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -72,6 +72,7 @@
   void start(core::RpcId rpc, int attempt, const std::string& worker, const core::AttemptLimits& limits,
              const std::shared_ptr<const core::Payload>& payload) override;
   void cancel(core::RpcId rpc, int attempt) override;
+  void limit_patience(core::RpcId rpc, net::Clock::time_point at) override;
   void withdraw(core::RpcId rpc) override;
 
   struct Node {
@@ -113,6 +114,7 @@
     std::unique_ptr<Connection> connection;
     net::asio::steady_timer timer, more;  // its limit; more of its body has come
     net::Clock::time_point started, give_up, whole_by;
+    std::chrono::nanoseconds told{};  // of its time, at most, to the worker
     std::shared_ptr<const core::Payload> payload;
     Stop stop = Stop::none;
     std::optional<BodyProgress> body;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -116,6 +116,7 @@
   guards_.erase({rpc.guard, id});
   rpc.guard = Clock::now() + std::max<nanoseconds>(nanoseconds{0}, rpc.terms.budget - waited - kGuard);
   guards_.emplace(rpc.guard, id);
+  if (rpc.out > 0) attempts_->limit_patience(id, rpc.guard);
   push(cranemux::Uploaded{std::to_string(id), waited.count()});
 }
 
@@ -312,7 +313,9 @@
   }
   ++rpc->out;
   ++counters_.attempts_sent;
-  AttemptLimits limits{nanoseconds(send.timeout)};
+  AttemptLimits limits;
+  limits.patience = nanoseconds(send.timeout);
+  limits.told = rpc->terms.budget;
   if (send.send_deadline > 0) limits.whole_by = Clock::time_point(nanoseconds(send.send_deadline));
   attempts_->start(id, rpc->attempts++, send.server, limits, rpc->payload);
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -76,6 +76,7 @@
 struct AttemptLimits {
   nanoseconds patience{};
   Clock::time_point whole_by = Clock::time_point::max();  // its last byte goes out by then, or never
+  nanoseconds told = nanoseconds::max();                  // of its patience, at most, to the worker
 };
 
 class CallAttempts {
@@ -85,6 +86,8 @@
   virtual void start(RpcId rpc, int attempt, const std::string& worker, const AttemptLimits& limits,
                      const std::shared_ptr<const Payload>& payload) = 0;
   virtual void cancel(RpcId rpc, int attempt) = 0;
+  // The attempts of an RPC end by `at` in any case: its time runs now.
+  virtual void limit_patience(RpcId rpc, Clock::time_point at) = 0;
   // The client has gone: what has not reached a worker whole never does.
   virtual void withdraw(RpcId rpc) = 0;
 };
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -13,10 +13,12 @@
 
 class Get : public Exchange {
  public:
-  std::string message(milliseconds) const override {
+  std::string message(milliseconds patience) const override {
+    told = patience;
     return "GET /api HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: look\r\n\r\n";
   }
   core::AttemptResult read(const http::Message&) const override { return {}; }
+  mutable milliseconds told{};
 };
 
 // A request whose body is still on its way from the client.
@@ -197,6 +199,28 @@
   EXPECT_EQ(called.counters.worker_connections, 3U);
 }
 
+// Guards against attempts that stay for an hour once the time of their request, a long body, has begun.
+TEST(Attempts, OneEndsWithTheTimeOfItsRequest) {
+  Called called;
+  called.node.behaviour.answer = testing::Behaviour::Answer::stall;
+  called.start();
+  ASSERT_TRUE(called.stage.play_until([&] { return called.node.taken() == 1; }));
+  called.attempts.limit_patience(1, net::Clock::now() + milliseconds(20));
+  ASSERT_TRUE(called.stage.play_until([&] { return called.others() > 0; }, milliseconds(5000)));
+  EXPECT_EQ(called.counters.attempts_timeout, 1U);
+}
+
+// A worker is told no more than the client's time, however long the attempt may take.
+TEST(Attempts, TellsNoMoreThanItIsAllowedTo) {
+  Called called;
+  const auto get = std::make_shared<Get>();
+  core::AttemptLimits limits{std::chrono::hours(1)};
+  limits.told = milliseconds(1500);
+  called.attempts.start(1, 0, "one", limits, get);
+  ASSERT_TRUE(called.ended());
+  EXPECT_EQ(get->told, milliseconds(1500));
+}
+
 TEST(Attempts, TwoOfOneRequestEndApart) {
   Called called;
   called.node.behaviour.answer = testing::Behaviour::Answer::stall;
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -552,6 +552,8 @@
   ASSERT_TRUE(wire.answer(answer));
   EXPECT_EQ(wire.status, 200);
   EXPECT_EQ(reader.taken.back().body, data);
+  EXPECT_NE(reader.taken.back().head.find("\r\nReq-Deadline-Ms: 4000\r\n"), std::string::npos)
+      << reader.taken.back().head;
   EXPECT_EQ(site.figure("router_upstream_requests{lane=\"book-job\"}"), 2);
 }
 
