Review, case 6: a late second copy of an answer is served to another customer

Cause: a connection to a worker is used again at once as long as no surplus has been noticed in the last 60 s, and whatever arrives on it next is taken for the answer. Nothing ties an answer to its request.

--- /dev/null
+++ b/review/standins-2/case_copy.cpp
@@ -0,0 +1,162 @@
+// Answers that bring more than belongs to them: right after some of its answers a worker sends a second copy,
+// which reaches the gatekeeper some milliseconds after the first. Each client has to get the answer that a
+// worker made for its own request, or none.
+#include <cmath>
+
+#include "standins.h"
+
+namespace {
+
+using namespace standins;
+
+constexpr int kDays = 9, kGatekeepers = 3, kWorkers = 8;
+constexpr long kDay = 9000, kCalm = 1500;           // ms: of a day, and without copies at its start
+constexpr int kClients = 12;                        // of each gatekeeper
+constexpr double kThink = 70;                       // ms, mean time of a client between two requests
+constexpr double kCopies = 0.1;                     // share of the answers that are followed by a copy
+constexpr double kSoonest = 2, kLatest = 6;         // ms: the copy comes so long after the answer
+constexpr double kStatusWork = 40, kBookWork = 90;  // ms, mean, within the ranges of the brief
+constexpr double kBookings = 0.23;                  // share of the requests
+
+double exponential(double mean) { return -mean * std::log(1 - random_fraction()); }
+
+struct Day {
+  Record& record;
+  std::atomic<bool> ends{false}, copies{false};
+  std::atomic<int> served{0}, refused{0}, failed{0}, closed{0}, foreign{0}, copied{0};
+
+  // A worker's connection. Some answers are followed by a second copy at once, where nothing else waits here.
+  void work(Connection& connection) {
+    while (const auto request = connection.read()) {
+      const bool books = request->field("req-kind") == "book-job";
+      sleep_ms(static_cast<long>(exponential(books ? kBookWork : kStatusWork)));
+      const auto id = request->field("req-id"), body = "the answer to " + id;
+      const auto answer =
+          "HTTP/1.1 200 OK\r\nSrv-Load: TEXT inflight=1\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body;
+      const bool twice = copies && !connection.has_input() && random_fraction() < kCopies;
+      record.line("worker: ran ", id, twice ? ", answers it and sends a second copy right after" : "");
+      if (!connection.send(twice ? answer + answer : answer)) return;
+    }
+  }
+
+  // The way from a worker to a gatekeeper: all that comes behind an answer together with it arrives a little
+  // later. The bytes of a connection keep their order.
+  void relay(int worker_port, Connection& gatekeeper) {
+    Connection worker;
+    if (!worker.open(worker_port)) return;
+    std::thread requests([&] {
+      while (const auto request = gatekeeper.read()) {
+        if (!worker.send(request->raw)) break;
+      }
+      worker.shut();
+    });
+    while (const auto answer = worker.read()) {
+      if (!gatekeeper.send(answer->raw)) break;
+      if (!worker.has_buffered()) continue;
+      const auto late = kSoonest + random_fraction() * (kLatest - kSoonest);
+      sleep_ms(static_cast<long>(late));
+      const auto copy = worker.read();
+      ++copied;
+      record.line("network: the second copy of \"", answer->body, "\" arrives ", static_cast<int>(late),
+                  " ms after it");
+      if (!copy || !gatekeeper.send(copy->raw)) break;
+    }
+    gatekeeper.shut();
+    requests.join();
+  }
+
+  void call(int gatekeeper, int port, int number) {
+    Connection connection;
+    for (int i = 0; !ends; ++i) {
+      sleep_ms(static_cast<long>(exponential(kThink)));
+      if (!connection.is_open() && !connection.open(port)) continue;
+      Request request;
+      request.id = std::to_string(gatekeeper) + "." + std::to_string(number) + "." + std::to_string(i);
+      if (random_fraction() < kBookings) request.klass = "book-job", request.deadline_ms = 2000;
+      request.customer = static_cast<unsigned>(1 + gatekeeper * kClients + number);
+      request.first = gatekeeper;
+      record.line("client: sends ", request.id, ' ', request.klass);
+      connection.send(request.text());
+      const auto answer = connection.read(Clock::now() + milliseconds(request.deadline_ms + 500));
+      if (!answer) {
+        ++closed;
+        connection.close();
+        continue;
+      }
+      const auto status = answer->status();
+      ++(status == 200 ? served : status == 429 || status == 503 ? refused : failed);
+      record.line("client: ", request.id, " answered with ", status, " \"", answer->body, '"');
+      if (status == 200 && answer->body != "the answer to " + request.id) {
+        ++foreign;
+        record.result("FOREIGN: the client that asked with ", request.id, " was served \"", answer->body,
+                      '"');
+      }
+      if (answer->field("connection") == "close") connection.close();
+    }
+  }
+};
+
+// Returns how many foreign answers clients got.
+int play(Record& record, int number, int& served) {
+  const Folder folder;
+  Day day{record};
+  std::vector<std::unique_ptr<Server>> workers, relays;
+  std::vector<Site> sites(kGatekeepers);
+  std::vector<int> peers, ports;
+  for (int i = 0; i < kWorkers; ++i) {
+    workers.push_back(std::make_unique<Server>([&day](Connection& c) { day.work(c); }));
+    relays.push_back(std::make_unique<Server>(
+        [&day, port = workers.back()->port()](Connection& c) { day.relay(port, c); }));
+    ports.push_back(relays.back()->port());
+  }
+  for (int i = 0; i < kGatekeepers; ++i) peers.push_back(free_port());
+  std::vector<std::unique_ptr<Gatekeeper>> gatekeepers;
+  for (int i = 0; i < kGatekeepers; ++i) {
+    auto& site = sites[static_cast<std::size_t>(i)];
+    site.index = i;
+    site.peers = peers;
+    site.workers = ports;
+    const auto config = folder.write("config" + std::to_string(i) + ".json", site.json());
+    gatekeepers.push_back(std::make_unique<Gatekeeper>(
+        "", std::map<std::string, std::string>{{"ROUTER_CONFIG", config}, {"TMPDIR", folder.path()}},
+        folder.path() + "/log" + std::to_string(i)));
+  }
+  for (int i = 0; i < kGatekeepers; ++i) {
+    if (!gatekeepers[static_cast<std::size_t>(i)]->ready(sites[static_cast<std::size_t>(i)].port))
+      not_run("a gatekeeper is not ready");
+  }
+  std::vector<std::thread> threads;
+  for (int g = 0; g < kGatekeepers; ++g) {
+    for (int i = 0; i < kClients; ++i) {
+      threads.emplace_back(
+          [&day, g, i, port = sites[static_cast<std::size_t>(g)].port] { day.call(g, port, i); });
+    }
+  }
+  sleep_ms(kCalm);
+  day.copies = trouble();
+  for (const auto end = Clock::now() + milliseconds(kDay - kCalm); Clock::now() < end && day.foreign == 0;)
+    sleep_ms(20);
+  day.ends = true;
+  for (auto& thread : threads) thread.join();
+  served += day.served;
+  record.result("day ", number, ": ", day.served.load(), " served, ", day.refused.load(), " refused, ",
+                day.failed.load(), " failed, ", day.closed.load(), " closed; ", day.copied.load(),
+                " second copies; ", day.foreign.load(), " foreign answers");
+  gatekeepers.clear();
+  relays.clear();
+  workers.clear();
+  return day.foreign;
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  if (count != 2) not_run("usage: case_copy RECORD");
+  Record record(arguments[1]);
+  int served = 0, foreign = 0;
+  for (int day = 1; day <= kDays && foreign == 0; ++day) foreign = play(record, day, served);
+  if (served == 0) not_run("nothing was served");
+  record.result(foreign > 0 ? "broken" : "held");
+  return foreign > 0 ? kBroken : kHeld;
+}
