--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -16,6 +16,7 @@
 #include <filesystem>
 #include <iostream>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace standins {
@@ -188,15 +189,23 @@
   close();
 }
 
+// Below the range that the system deals out for connections, and none twice: a port that is free now is then
+// still free when a program binds it.
 int free_port() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto at = loopback(0);
-  socklen_t size = sizeof at;
-  const bool found = fd >= 0 && ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
-                     ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
-  ::close(fd);
-  if (!found) not_run("no free port");
-  return ntohs(at.sin_port);
+  constexpr int kFirst = 12'000, kLast = 31'000, kTries = 1000;
+  static std::mutex mutex;
+  static std::set<int> dealt;
+  const std::lock_guard hold(mutex);
+  for (int i = 0; i < kTries; ++i) {
+    const int port = kFirst + static_cast<int>(random_fraction() * (kLast - kFirst));
+    if (!dealt.insert(port).second) continue;
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto at = loopback(port);
+    const bool free = ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+    ::close(fd);
+    if (free) return port;
+  }
+  not_run("no free port");
 }
 
 Server::Server(Serve serve) : serve_(std::move(serve)) {
