--- a/review/standins-2/case_reload.cpp
+++ b/review/standins-2/case_reload.cpp
@@ -11,8 +11,8 @@
 
 constexpr int kReloads = 6;
 constexpr long kBetweenReloads = 3000, kFirstReload = 3000, kAfter = 3000;  // ms
-constexpr int kSubscribers = 3, kCallers = 3;
-constexpr long kEventEvery = 50;                    // ms
+constexpr int kSubscribers = 6, kCallers = 3;
+constexpr long kEventEvery = 20;                    // ms
 constexpr long kLeastWork = 300, kMostWork = 1000;  // ms, of a query
 constexpr int kDeadline = 2000;                     // ms
 
