Review, case 10: answers that tell half of their length are served as whole

Cause: that more has come than an answer's length tells is noticed and the connection is closed, but the answer counts as served.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-for program in build/cranemux review/build-2/case_set; do
+for program in build/cranemux review/build-2/case_short; do
   [ -x "$program" ] || { echo "not built: $program"; exit 2; }
 done
-exec review/build-2/case_set "$here/record.txt"
+exec review/build-2/case_short "$here/record.txt"
