Review, stand-ins: a case that is interrupted exits with 2 and leaves nothing

Cause: a script that got SIGTERM exited with 143, and one that could not run left its folder behind.

Change: a thread waits for the signals and for 118 s; it, an exception and what cannot be set up end all processes, remove the folders and exit with 2.

--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -33,6 +33,53 @@
   return at;
 }
 
+constexpr std::chrono::seconds kLongest{118};  // of a case: it may take 120 s
+
+// What a case has to end and to remove, however it ends itself.
+struct Owned {
+  std::mutex mutex;
+  std::set<pid_t> processes;
+  std::set<std::string> folders;
+};
+Owned& owned() {
+  static auto* const all = new Owned;  // never destroyed: a signal may come while the process ends
+  return *all;
+}
+
+// Ends all processes that the case has started, removes its folders, and ends the case.
+[[noreturn]] void end_case(int code) {
+  auto& all = owned();
+  const std::lock_guard hold(all.mutex);
+  for (const auto pid : all.processes) ::kill(pid, SIGKILL);
+  for (const auto pid : all.processes) ::waitpid(pid, nullptr, 0);
+  std::error_code ignored;
+  for (const auto& folder : all.folders) std::filesystem::remove_all(folder, ignored);
+  std::_Exit(code);
+}
+
+sigset_t ending_signals() {
+  sigset_t set;
+  ::sigemptyset(&set);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) ::sigaddset(&set, number);
+  return set;
+}
+
+// A case that is told to end, takes too long or throws has not run: exit code 2, and nothing is left behind.
+const bool kGuarded = [] {
+  std::set_terminate([] {
+    std::cerr << "not run: an exception" << std::endl;
+    end_case(kNotRun);
+  });
+  const auto signals = ending_signals();
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::thread([signals] {
+    const timespec longest{kLongest.count(), 0};
+    const int got = ::sigtimedwait(&signals, nullptr, &longest);
+    not_run(got > 0 ? "signal " + std::to_string(got) : "it takes longer than a case may");
+  }).detach();
+  return true;
+}();
+
 std::string lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
                  [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
@@ -91,7 +138,7 @@
 
 void not_run(const std::string& why) {
   std::cerr << "not run: " << why << std::endl;
-  std::_Exit(kNotRun);
+  end_case(kNotRun);
 }
 
 std::string Message::field(const std::string& name) const {
@@ -255,6 +302,8 @@
   auto pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   if (!::mkdtemp(pattern.data())) not_run("no temporary folder");
   path_ = pattern;
+  const std::lock_guard hold(owned().mutex);
+  owned().folders.insert(path_);
 }
 
 Folder::~Folder() {
@@ -273,9 +322,15 @@
                        const std::string& log) {
   const auto command = run_command() + " " + arguments;
   const auto parent = ::getpid();
-  pid_ = ::fork();
+  {
+    const std::lock_guard hold(owned().mutex);
+    pid_ = ::fork();
+    if (pid_ > 0) owned().processes.insert(pid_);
+  }
   if (pid_ < 0) not_run("no process");
   if (pid_ != 0) return;
+  const auto signals = ending_signals();
+  ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the case, however that ends
   if (::getppid() != parent) std::_Exit(127);
   if (!std::freopen(log.c_str(), "a", stderr) || ::dup2(2, 1) < 0) std::_Exit(127);
@@ -301,6 +356,8 @@
   if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_) {
     ended_ = WIFSIGNALED(status) ? "by signal " + std::to_string(WTERMSIG(status))
                                  : "with exit code " + std::to_string(WEXITSTATUS(status));
+    const std::lock_guard hold(owned().mutex);
+    owned().processes.erase(pid_);
     pid_ = -1;
   }
   return pid_ > 0;
