Review, case 6: record.txt tells what was sent

Cause: the record told what was answered and run, not all that was sent.

Change: the record tells of its clients and bad clients. What is played is the same.

--- a/review/standins-2/case_leave.cpp
+++ b/review/standins-2/case_leave.cpp
@@ -54,6 +54,8 @@
           request.customer = kBadCustomers + static_cast<unsigned>(number);
           text += request.text();
         }
+        record.line("bad client ", number, ": sends ", kFlood, " requests at once, bad-", number,
+                    "-0 and on, and goes");
         connection.send(text);
         sleep_ms(kStays);
       }
@@ -74,6 +76,7 @@
       request.id = std::to_string(customer) + "-" + std::to_string(i);
       request.customer = customer;
       ++sent;
+      record.line("client: sends ", request.id);
       connection.send(request.text());
       const auto answer = connection.read(Clock::now() + milliseconds(request.deadline_ms + 550));
       const auto status = answer ? answer->status() : 0;
