--- a/review/standins-2/case_reload.cpp
+++ b/review/standins-2/case_reload.cpp
@@ -75,6 +75,7 @@
         }
         return;
       }
+      record.line("server: runs a query");
       sleep_ms(kLeastWork + static_cast<long>(random_fraction() * (kMostWork - kLeastWork)));
       const std::string body = "{\"data\":{\"job\":{\"id\":\"1\"}}}";
       connection.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -92,6 +93,7 @@
         sleep_ms(200);
         continue;
       }
+      record.line("subscriber ", number, ": sends its subscription");
       connection.send(
           post("track.example.org", "subscription { moved(id: 1) { id } }", "text/event-stream", customer));
       std::string got;
