--- a/review/standins-2/case_short.cpp
+++ b/review/standins-2/case_short.cpp
@@ -58,6 +58,7 @@
       request.id = std::to_string(customer) + "." + std::to_string(i);
       if (random_fraction() < kBookings) request.klass = "book-job", request.deadline_ms = 2000;
       request.customer = customer;
+      record.line("client: sends ", request.id, ' ', request.klass);
       connection.send(request.text());
       const auto answer = connection.read(Clock::now() + milliseconds(request.deadline_ms + 500));
       if (!answer) {
