Tests: slow answers of every effect and framing, and long requests read slowly, failing

Reproduced on real processes with stand-in workers of our own, on the code of: an answer of no told length (30 to 240 KB over 1.5 s, in lumps or steadily, in chunks or to the end of the connection) of a class with an aim of 205 ms gets 429 where the class may be repeated, safe or keyed (6 of 6 writings each), and comes whole where it may not (6 of 6). Requests of 6 to 16 MB at a worker that reads 160 KB to 3 MB a second get their final answer 6 to 27 s after the return of the client's last write, of a wait of 1.5 s (3 of 4 by length, 2 of 4 in chunks).

The slow worker moves to testing/, classes of a site and the deadline of a request can be set.

--- a/testing/site.cpp
+++ b/testing/site.cpp
@@ -15,10 +15,7 @@
 constexpr const char* kSettings = R"({"balancers":1,"index":0,"zone":"z","quantum-ns":2000000,
   "caps":{"cancel":true,"conn-idle-ns":30000000000,"connect-timeout-ns":250000000,"most-tries":4},
   "invariants":{"drain-grace-ns":1000000000,"cold-from":1},"stats":{"fields":["outstanding"],"source":"piggyback"},
-  "specifics":{"most-units":4},
-  "classes":[{"name":"job-status","goal-time-ns":2000000000,"give-up-ns":4000000000,"points":3,"semantics":"free"},
-    {"name":"book-job","goal-time-ns":2000000000,"give-up-ns":4000000000,"points":5,"semantics":"single_shot"}],
-  "contracts":)";
+  "specifics":{"most-units":4},"classes":)";
 
 sockaddr_in loopback(int port) {
   sockaddr_in at{};
@@ -68,7 +65,7 @@
            "\",\"zone\":\"z\",\"status\":\"active\",\"since_ms\":0}";
     comma = ",";
   }
-  return out + "]},\"settings\":" + kSettings + plans + "}}";
+  return out + "]},\"settings\":" + kSettings + classes + ",\"contracts\":" + plans + "}}";
 }
 
 Site::Life& Site::start(bool ready) {
--- a/testing/site.h
+++ b/testing/site.h
@@ -46,6 +46,10 @@
   std::string log(std::size_t life);
 
   std::string limits = "{\"sockets\":384,\"memory_mb\":48}";
+  std::string classes =
+      R"([{"name":"job-status","goal-time-ns":2000000000,"give-up-ns":4000000000,"points":3,"semantics":"free"},)"
+      R"({"name":"book-job","goal-time-ns":2000000000,"give-up-ns":4000000000,"points":5,)"
+      R"("semantics":"single_shot"}])";
   std::string plans = R"([{"name":"corner","per-second":1,"peak-units":4,"pays":0.72},)"
                       R"({"name":"business","per-second":2000,"peak-units":4000,"pays":1.2}])";
   const std::string binary;
--- a/testing/wire.cpp
+++ b/testing/wire.cpp
@@ -22,12 +22,12 @@
   return out;
 }
 
-std::string request(const std::string& id, const std::string& more, bool safe, const char* version) {
+std::string request(const std::string& id, const std::string& more, bool safe, const char* version,
+                    milliseconds deadline) {
   return std::string(safe ? "GET" : "POST") + " /api HTTP/" + version + "\r\nHost: a\r\nReq-Id: " + id +
          "\r\nReq-Kind: " + (safe ? "job-status" : "book-job") +
-         "\r\nX-Tier: business\r\nCookie: client=0000000000000001\r\nReq-Deadline-Ms: 4000\r\n"
-         "X-Call-Terms: units=1,spread=1,first=0\r\n" +
-         more + "\r\n";
+         "\r\nX-Tier: business\r\nCookie: client=0000000000000001\r\nReq-Deadline-Ms: " +
+         std::to_string(deadline.count()) + "\r\nX-Call-Terms: units=1,spread=1,first=0\r\n" + more + "\r\n";
 }
 
 Wire::Wire(Stage& stage, int port) : stage_(stage), socket_(stage.io(), net::tcp::v4()) {
--- a/testing/wire.h
+++ b/testing/wire.h
@@ -14,7 +14,7 @@
 
 // A request on the platform's front. `more`: further header lines, each with its end, and the body.
 std::string request(const std::string& id, const std::string& more = {}, bool safe = true,
-                    const char* version = "1.1");
+                    const char* version = "1.1", milliseconds deadline = milliseconds(4000));
 
 class Wire {
  public:
--- a/tests/slow_workers_test.cpp
+++ b/tests/slow_workers_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "testing/site.h"
+#include "testing/slow_worker.h"
 #include "testing/wire.h"
 
 namespace cranemux::testing {
@@ -15,82 +16,12 @@
 constexpr std::size_t kMega = std::size_t{1024} * 1024, kPiece = kMega / 50;  // bytes
 constexpr milliseconds kInTime{4550};  // the request's time and half a second
 
-// Reads a request at its pace, then writes what it is told to, piece by piece.
-class SlowWorker {
- public:
-  struct Piece {
-    milliseconds after;
-    std::string bytes;
-  };
-
-  explicit SlowWorker(Stage& stage) : stage_(stage), acceptor_(stage.io(), net::tcp::v4()) {
-    acceptor_.set_option(net::asio::socket_base::receive_buffer_size(64 * 1024));
-    acceptor_.bind({net::asio::ip::make_address("127.0.0.1"), 0});
-    acceptor_.listen();
-    net::spawn(stage_.io(), logger_, "slow worker", accept());
-  }
-  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
-
-  std::vector<Piece> answer;
-  bool ends = false;          // the connection, after the answer
-  std::size_t reads = kMega;  // bytes at most ...
-  milliseconds every{0};      // ... in such a time
-  std::size_t heads = 0;
-
- private:
-  net::awaitable<void> accept() {
-    for (;;) {
-      auto [error, socket] = co_await acceptor_.async_accept(net::kResult);
-      if (error) co_return;
-      net::spawn(stage_.io(), logger_, "slow worker",
-                 serve(std::make_shared<net::tcp::socket>(std::move(socket))));
-    }
-  }
-  net::awaitable<void> pause(milliseconds time) {
-    net::asio::steady_timer timer(stage_.io(), time);
-    co_await timer.async_wait(net::kResult);
-  }
-  net::awaitable<void> serve(std::shared_ptr<net::tcp::socket> socket) {
-    std::string in, body;
-    for (;;) {
-      http::Message head;
-      while (http::parse_head(in, http::Kind::request, head).state != http::State::whole) {
-        if (co_await net::read_more(*socket, in) == 0) co_return;
-      }
-      ++heads;
-      int ignored = 0;
-      http::BodyReader reader(*http::framing(head, http::Kind::request, ignored));
-      in.erase(0, head.size);
-      while (reader.take(in, body) != http::BodyReader::State::done) {
-        if (every.count() > 0) co_await pause(every);
-        if (co_await net::read_more(*socket, in, reads) == 0) co_return;
-      }
-      for (const auto& piece : answer) {
-        co_await pause(piece.after);
-        const auto [error, count] =
-            co_await net::asio::async_write(*socket, net::asio::buffer(piece.bytes), net::kResult);
-        if (error) co_return;
-      }
-      if (ends) co_return;
-    }
-  }
-
-  Stage& stage_;
-  net::tcp::acceptor acceptor_;
-  metrics::Logger logger_{2, metrics::Level::error};
-};
-
 class slow_workers : public ::testing::Test {
  protected:
   slow_workers() : site(std::getenv("CRANEMUX_PROGRAM")), worker(site.stage) {
     site.elsewhere["one"] = worker.address();
   }
   void TearDown() override { EXPECT_TRUE(site.life().program->alive()) << site.log(0); }
-  static std::string chunk(const std::string& data) {
-    char size[20];
-    std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-    return size + data + "\r\n";
-  }
   // So many pieces, one after each pause, as `frame` writes them.
   template <typename Frame>
   void writes(const std::string& head, std::size_t pieces, milliseconds every, const Frame& frame,
@@ -176,5 +107,106 @@
   }
 }
 
+// An answer of no told length, as a worker writes it slowly.
+struct Writing {
+  const char* name;
+  bool chunked;
+  std::size_t pieces;  // with as many pauses, over kWriting together
+  std::size_t bytes;   // of each
+};
+constexpr milliseconds kWriting{1500};
+constexpr std::size_t kKilo = 1024;
+constexpr Writing kWritings[] = {
+    {"lumps in chunks", true, 3, 10 * kKilo},     {"lumps to the end", false, 3, 10 * kKilo},
+    {"lumps in chunks", true, 3, 60 * kKilo},     {"lumps to the end", false, 3, 60 * kKilo},
+    {"steadily in chunks", true, 100, 2 * kKilo}, {"steadily to the end", false, 100, 2 * kKilo},
+};
+
+// Classes with an aim of 205 ms whose answers earn nothing past it, as the classes of short days have it.
+std::string short_classes(const std::string& booking) {
+  return R"([{"name":"job-status","goal-time-ns":205000000,"give-up-ns":800000000,"points":3,"semantics":"free"},)"
+         R"({"name":"book-job","goal-time-ns":205000000,"give-up-ns":800000000,"points":5,"semantics":)" +
+         booking + "}]";
+}
+constexpr milliseconds kShortWait{800};
+
+class slow_answers : public slow_workers {
+ protected:
+  void play(const Writing& writing) {
+    const auto frame = [&](const std::string& data) { return writing.chunked ? chunk(data) : data; };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    worker.ends = !writing.chunked;
+    worker.answer = {
+        {milliseconds(10), head + (writing.chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n") +
+                               frame(std::string(writing.bytes, 'a'))}};
+    for (std::size_t i = 0; i < writing.pieces; ++i)
+      worker.answer.push_back({kWriting / writing.pieces, frame(std::string(writing.bytes, 'a'))});
+    if (writing.chunked) worker.answer.push_back({milliseconds(0), "0\r\n\r\n"});
+  }
+  void expect_all_whole(const std::string& booking, bool safe) {
+    site.classes = short_classes(booking);
+    site.start();
+    int number = 0;
+    for (const auto& writing : kWritings) {
+      play(writing);
+      Wire client(site.stage, site.port);
+      const std::string fields = safe ? "" : "Idempotency-Key: k\r\nContent-Length: 0\r\n";
+      client.send(request("a" + std::to_string(++number), fields, safe, "1.1", kShortWait));
+      EXPECT_TRUE(client.answer(body)) << writing.name << ": " << body.size();
+      EXPECT_EQ(client.status, 200) << writing.name;
+      EXPECT_EQ(body.size(), (writing.pieces + 1) * writing.bytes) << writing.name;
+      EXPECT_EQ(worker.heads, static_cast<std::size_t>(number)) << "another attempt";
+    }
+    EXPECT_EQ(worker.cut, 0U);
+  }
+};
+
+// Guards against answers of no told length that are cut once their request's aim is over, though the worker
+// still writes: they were held back until then where the class lets a request be sent again.
+TEST_F(slow_answers, of_a_safe_class_come_whole) { expect_all_whole(R"("free")", true); }
+
+TEST_F(slow_answers, of_a_keyed_class_come_whole) {
+  expect_all_whole(R"("guarded","dedup-scope":"all","memory-span-ns":4000000000)", false);
+}
+
+TEST_F(slow_answers, of_a_class_that_runs_once_come_whole) { expect_all_whole(R"("single_shot")", false); }
+
+// A long request that its worker reads slowly.
+struct Reading {
+  std::size_t size;   // bytes of the request
+  std::size_t per_s;  // bytes that the worker reads
+};
+constexpr Reading kReadings[] = {
+    {6 * kMega, 160 * kKilo}, {10 * kMega, 160 * kKilo}, {10 * kMega, kMega}, {16 * kMega, 3 * kMega}};
+
+// Guards against final answers that come seconds after their time: the last byte is written, but lies in the
+// client's own buffer, as the worker takes no more and so nothing is read.
+class long_requests : public slow_workers {
+ protected:
+  void expect_answered_in_time(bool chunked) {
+    constexpr milliseconds kEvery{20}, kWait{1500}, kLate{500};
+    worker.every = kEvery;
+    worker.answer = {{milliseconds(0), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}};
+    site.start();
+    int number = 0;
+    for (const auto& reading : kReadings) {
+      worker.reads = reading.per_s * static_cast<std::size_t>(kEvery.count()) / 1000;
+      const std::string data(reading.size, 'b');
+      const auto told = "Content-Length: " + std::to_string(data.size()) + "\r\n";
+      Wire client(site.stage, site.port);
+      const auto id = "l" + std::to_string(++number);
+      client.send(request(id, chunked ? "Transfer-Encoding: chunked\r\n" : told, false, "1.1", kWait));
+      client.send(chunked ? chunk(data) + "0\r\n\r\n" : data);
+      const auto written = Clock::now();
+      EXPECT_TRUE(client.answer(body)) << reading.size << " bytes at " << reading.per_s;
+      EXPECT_LT(Clock::now() - written, kWait + kLate) << reading.size << " bytes at " << reading.per_s;
+    }
+  }
+};
+
+TEST_F(long_requests, by_length_are_answered_in_time) { expect_answered_in_time(false); }
+
+TEST_F(long_requests, in_chunks_are_answered_in_time) { expect_answered_in_time(true); }
+
 }  // namespace
 }  // namespace cranemux::testing
