Pass on what has come of an answer instead of giving up its attempt

The module's aim, the attempt's time-out, a cancel for a retry elsewhere and the core's guard all ended it as if nothing had come.

Change: one rule for all classes and all ends. What has begun (`begun_answer`: a 200 without a told length, or one longer than is held) is passed on after 1 s of holding, or 100 ms before the attempt's end; and whatever would end the attempt or give the request another final answer while its client waits asks `pass_on` first, which also looks at bytes that are not read yet. If the answer breaks off in that very moment the refusal or failure is given after all.

Counters `answers_kept_past_end` and `answers_given_up`; log lines of attempts and final answers carry the request's id, the bytes of the answer and why it ended so.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <unordered_set>
 
+#include "attempt/begun_answer.h"
 #include "attempt/trailing_bytes.h"
 #include "http/chunk.h"
 
@@ -21,6 +22,8 @@
 constexpr std::chrono::milliseconds kDawdles{200};  // an answer of no told length is passed on as it comes
 constexpr std::chrono::milliseconds kMaxHeldBack{1000};  // the same, while its worker pauses ...
 constexpr std::chrono::milliseconds kBeforeEnd{100};     // ... and no later than this before the call ends
+constexpr std::chrono::milliseconds kMostPause{
+    3000};  // of its worker, from then on, where its length is not told
 constexpr std::size_t kBodyPiece = 16 * 1024;
 constexpr std::size_t kAnswerPiece = 4096;
 constexpr std::chrono::milliseconds kBodyLook{50};     // for an answer that comes before the body's end
@@ -43,9 +46,15 @@
   return bytes;
 }
 
-// Nobody knows how long it will be, and it takes its time. `since`: its first byte.
-bool dawdles(const http::Framing& framing, Clock::time_point since) {
-  return framing.kind != http::Framing::Kind::length && Clock::now() - since > kDawdles;
+// Drops interim answers (1xx) from the start of `buffer`, and counts their bytes in `interim`.
+http::Verdict parse_answer(std::string& buffer, std::size_t& interim, http::Message& answer, bool ended) {
+  for (;;) {
+    const auto verdict = http::parse(buffer, http::Kind::response, answer, ended);
+    if (verdict.state != http::State::whole || answer.status >= 200) return verdict;
+    interim += answer.size;
+    if (answer.status == 101 || interim > http::kMostHead) return {http::State::bad, 502, 0};
+    buffer.erase(0, answer.size);
+  }
 }
 
 }  // namespace
@@ -155,6 +164,7 @@
 void Attempts::close(Call& call, Stop stop) {
   if (call.stop != Stop::none) return;
   call.stop = stop;
+  if (call.begun) ++counters_.answers_given_up;
   call.more.cancel();
   boost::system::error_code ignored;
   if (call.connection) call.connection->socket.close(ignored);
@@ -165,10 +175,32 @@
   call.timer.expires_at(at);
   call.timer.async_wait([this, weak = call.weak_from_this()](const boost::system::error_code& error) {
     const auto held = weak.lock();
-    if (!error && held && held->timer.expiry() <= Clock::now()) close(*held, Stop::timeout);
+    if (error || !held || held->timer.expiry() > Clock::now()) return;
+    if (!pass_on(*held)) close(*held, Stop::timeout);
   });
 }
 
+bool Attempts::pass_on(core::RpcId rpc, int attempt) {
+  const auto found = calls_.find({rpc, attempt});
+  return found != calls_.end() && pass_on(*found->second);
+}
+
+// What has come may not be read yet, as after a time in which this process did not run.
+bool Attempts::pass_on(Call& call) {
+  if (call.stop != Stop::none || !call.written || !call.connection) return false;
+  if (!static_cast<const Exchange&>(*call.payload).may_be_long()) return false;
+  auto& connection = *call.connection;
+  if (!call.begun && !begun_answer(connection.buffer + net::peek(connection.socket, http::kMostHead)))
+    return false;
+  if (std::exchange(call.passes_on, true)) return true;
+  ++counters_.answers_kept_past_end;
+  logger_.log(metrics::Level::debug, "attempt rpc=", call.rpc, " number=", call.attempt,
+              " is not given up: its answer has begun");
+  boost::system::error_code ignored;
+  if (call.begun) connection.socket.cancel(ignored);
+  return true;
+}
+
 net::awaitable<void> Attempts::run(std::shared_ptr<Call> call) {
   core::AttemptResult result;
   result.result = call->stop == Stop::none ? Result::connect_failed : Result::not_sent;
@@ -219,7 +251,8 @@
   const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - call.started);
   logger_.log(metrics::Level::debug, "attempt rpc=", call.rpc, " number=", call.attempt,
               " node=", call.worker->entry.name, " result=", kNames.at(static_cast<std::size_t>(result)),
-              " ms=", took.count(), " connection=", kept ? "kept" : "new");
+              " ms=", took.count(), " connection=", kept ? "kept" : "new", " answer_bytes=", call.received,
+              " id=", call.payload->id());
 }
 
 // An idle connection, if one is surely still open: the worker's machine may have closed it, and soon will.
@@ -331,18 +364,20 @@
   http::Message answer;
   http::Verdict verdict;
   Clock::time_point first{};  // byte of the answer
-  std::size_t before = 0;     // bytes of 1xx answers, which come before the answer
-  bool more_may_wait = false, no_length = false;
+  std::size_t interim = 0;    // bytes of 1xx answers, which come before the answer
+  bool more_may_wait = false;
   connection.buffer.clear();
   // One whose body broke off has nothing to wait for, but a worker may have said why.
   while (!error && call.stop == Stop::none && (call.written || readable(socket))) {
     const auto had = connection.buffer.size();
-    if (no_length) end_read(call, std::min(first + kMaxHeldBack, call.give_up - kBeforeEnd));
+    if (call.begun) end_read(call, std::min(first + kMaxHeldBack, call.give_up - kBeforeEnd));
     error = co_await net::read_some(socket, connection.buffer, kAnswerPiece);
-    if (no_length) call.more.cancel();
-    const bool waited = no_length && error == net::asio::error::operation_aborted && call.stop == Stop::none;
-    if (waited) error = {};
-    more_may_wait = connection.buffer.size() - had == kAnswerPiece;
+    if (call.begun) call.more.cancel();
+    const bool paused = call.begun && error == net::asio::error::operation_aborted && call.stop == Stop::none;
+    if (paused) error = {};
+    const auto count = connection.buffer.size() - had;
+    call.received += count;
+    more_may_wait = count == kAnswerPiece;
     if (call.stop != Stop::none || (error && error != net::asio::error::eof)) break;
     if (payload.may_stream() &&
         http::parse_head(connection.buffer, http::Kind::response, answer).state == http::State::whole &&
@@ -350,30 +385,22 @@
       co_return begin_stream(call, answer);
     }
     if (first == Clock::time_point{}) first = Clock::now();
-    if (!error && !waited && connection.buffer.size() < verdict.need) continue;
-    for (;;) {
-      verdict = http::parse(connection.buffer, http::Kind::response, answer, error == net::asio::error::eof);
-      if (verdict.state != http::State::whole || answer.status >= 200) break;
-      before += answer.size;
-      if (answer.status == 101 || before > http::kMostHead) {
-        verdict = {http::State::bad, 502, 0};
-        break;
-      }
-      connection.buffer.erase(0, answer.size);
-    }
+    const bool dawdles = Clock::now() - first > kDawdles;
+    const bool looks = call.passes_on || (call.begun && (paused || dawdles));
+    if (!error && !looks && connection.buffer.size() < verdict.need) continue;
+    verdict = parse_answer(connection.buffer, interim, answer, error == net::asio::error::eof);
     // What does not fit, or dawdles, is passed on as it comes.
     const bool too_long = verdict.state == http::State::bad && verdict.status == 413;
-    if (payload.may_be_long() && !error && (too_long || verdict.state == http::State::partial) &&
-        http::parse_head(connection.buffer, http::Kind::response, answer).state == http::State::whole) {
-      int status = 0;
-      const auto framing = http::framing(answer, http::Kind::response, status);
-      if (framing && framing->length <= http::kMostLong && answer.status == 200) {
-        if (too_long || waited || dawdles(*framing, first)) {
-          auto result = begin_long(call, answer, *framing);
-          if (waited) std::static_pointer_cast<Upstream>(result.stream)->more_by = call.deadline;
-          co_return result;
+    if (payload.may_be_long() && !error && (too_long || verdict.state == http::State::partial)) {
+      const auto begun = begun_answer(connection.buffer);
+      call.begun = begun.has_value();
+      if (begun && (too_long || paused || dawdles || call.passes_on)) {
+        auto result = begin_long(call, begun->head, begun->framing);
+        if (!too_long && (paused || call.passes_on)) {
+          std::static_pointer_cast<Upstream>(result.stream)->more_by =
+              std::max(call.deadline, Clock::now() + kMostPause);
         }
-        no_length = framing->kind != http::Framing::Kind::length && payload.runs_once();
+        co_return result;
       }
     }
     if (verdict.state != http::State::partial) break;
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -31,9 +31,6 @@
   // May an answer be longer than is held? Then the result's stream is an Upstream, too, from its first bytes
   // on.
   virtual bool may_be_long() const { return false; }
-  // May no further attempt follow one that may have run? Then what has come of an answer without a length is
-  // passed on though the worker pauses.
-  virtual bool runs_once() const { return false; }
   // What follows `message`, where that is not all of the request.
   virtual std::shared_ptr<BodyPipe> body() const { return nullptr; }
   bool shared() const override { return !may_stream() && !body(); }
@@ -80,6 +77,7 @@
   void cancel(core::RpcId rpc, int attempt) override;
   void limit_patience(core::RpcId rpc, net::Clock::time_point at) override;
   void withdraw(core::RpcId rpc) override;
+  bool pass_on(core::RpcId rpc, int attempt) override;
 
   struct Node {
     std::string state;
@@ -126,6 +124,9 @@
     Stop stop = Stop::none;
     std::optional<BodyProgress> body;
     bool written = false, no_room = false;
+    bool begun = false;        // its answer has, in a way that can be passed on as it comes
+    bool passes_on = false;    // what has come of the answer, now
+    std::size_t received = 0;  // bytes of the answer
   };
 
   net::awaitable<void> run(std::shared_ptr<Call> call);
@@ -145,6 +146,7 @@
                                bool more_may_wait);
   void limit(Call& call, net::Clock::time_point at);
   void end_read(Call& call, net::Clock::time_point at);  // without an end of the call
+  bool pass_on(Call& call);
   void close(Call& call, Stop stop);
   pool::Lease make_room();
   void forget_left();
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -1,6 +1,7 @@
 #include "core/core.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <iterator>
 #include <utility>
@@ -132,7 +133,6 @@
   ++counters_.rpcs_abandoned;
   --unanswered_;
   at->second.channel.reset();
-  at->second.gone = true;
   guards_.erase({at->second.guard, id});
   if (at->second.out > 0) attempts_->withdraw(id);
   push(cranemux::ClientGone{std::to_string(id)});
@@ -161,6 +161,8 @@
   if (result.result == Result::ok && rpc.channel) {
     finish(id, rpc,
            {.ending = Ending::served, .body = std::move(result.body), .stream = std::move(result.stream)});
+  } else if (rpc.otherwise && rpc.out == 0 && rpc.channel) {
+    finish(id, rpc, std::move(*rpc.otherwise));
   }
   cranemux::Outcome outcome;
   outcome.request = std::to_string(id);
@@ -213,8 +215,7 @@
 // The answer that the core has to give itself, since the module has not.
 void Core::give_up(RpcId id) {
   auto& rpc = rpcs_.at(id);
-  finish(id, rpc, {.ending = harmless(rpc) ? Ending::unavailable : Ending::failed});
-  rpc.gone = true;
+  end(id, rpc, {.ending = Ending::unavailable, .why = "out of time"});
   events_.emplace_back(cranemux::ClientGone{std::to_string(id)});
   drop_if_over(id);
 }
@@ -251,12 +252,39 @@
 void Core::guard_deadlines(Clock::time_point now) {
   while (!guards_.empty() && guards_.begin()->first <= now) {
     const auto id = guards_.begin()->second;
+    guards_.erase(guards_.begin());
     ++counters_.deadline_guards;
     give_up(id);
   }
 }
 
+// A final answer without a worker's. An answer that has begun is its client's, whatever would end the RPC
+// now.
+void Core::end(RpcId id, Rpc& rpc, FinalAnswer&& answer) {
+  if (!passes_on(id, rpc)) return finish(id, rpc, std::move(answer));
+  guards_.erase({rpc.guard, id});
+  rpc.otherwise = std::move(answer);
+}
+
+bool Core::passes_on(RpcId id, const Rpc& rpc) {
+  if (!rpc.channel || rpc.out == 0) return false;
+  for (int attempt = 0; attempt < rpc.attempts; ++attempt) {
+    if (attempts_->pass_on(id, attempt)) return true;
+  }
+  return false;
+}
+
+void Core::log_answer(RpcId id, const Rpc& rpc, const FinalAnswer& answer) {
+  static constexpr std::array<std::string_view, 3> kNames{"served", "unavailable", "failed"};
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - rpc.taken);
+  logger_.log(metrics::Level::debug, "answer rpc=", id, " id=", rpc.payload->id(), " class=", rpc.terms.klass,
+              " ending=", kNames.at(static_cast<std::size_t>(answer.ending)), " why=\"", answer.why,
+              "\" attempts=", rpc.attempts, " out=", rpc.out, " ms=", took.count());
+}
+
 void Core::finish(RpcId id, Rpc& rpc, FinalAnswer&& answer) {
+  if (answer.ending == Ending::unavailable && !harmless(rpc)) answer.ending = Ending::failed;
+  log_answer(id, rpc, answer);
   if (answer.ending == Ending::served) ++counters_.rpcs_served;
   if (answer.ending == Ending::served && !answer.stream) ++rpc.lane->completed;
   answer.lane = rpc.lane;
@@ -333,36 +361,41 @@
 }
 
 void Core::carry_out(const cranemux::Action& action) {
-  const auto end = [&](const std::string& request, Ending ending, cranemux::Nanos retry_after) {
+  const auto end_rpc = [&](const std::string& request, FinalAnswer&& answer) {
     RpcId id = 0;
     auto* rpc = find(request, id);
     if (!rpc || !rpc->channel) return;
-    if (!harmless(*rpc)) ending = Ending::failed;
-    finish(id, *rpc, {.ending = ending, .retry_after = nanoseconds(retry_after)});
+    end(id, *rpc, std::move(answer));
     drop_if_over(id);
   };
-  std::visit(Overloaded{
-                 [&](const cranemux::Send& a) { send(a); },
-                 [&](const cranemux::Cancel& a) {
-                   RpcId id = 0;
-                   if (const auto* rpc = find(a.request, id); rpc && rpc->out > 0) {
-                     attempts_->cancel(id, a.attempt);
-                   }
-                 },
-                 [&](const cranemux::Refuse& a) { end(a.request, Ending::unavailable, a.retry_after); },
-                 [&](const cranemux::Fail& a) { end(a.request, Ending::failed, 0); },
-                 [&](const cranemux::SetTimer& a) {
-                   timers_.emplace(Clock::time_point(nanoseconds(a.at)), a.token);
-                 },
-                 [&](const cranemux::SendToPeer& a) { peers_->tell(a.to, a.bytes); },
-                 [&](const cranemux::SpentElsewhere& a) {
-                   if (spent_) spent_(a);
-                 },
-                 [&](const cranemux::Log& a) { logger_.log(metrics::Level::info, a.text); },
-                 [&](const cranemux::WatchServers&) {},  // the resolver always watches
-                 [&](const cranemux::Probe&) {},         // the module asks for none
-             },
-             action);
+  std::visit(
+      Overloaded{
+          [&](const cranemux::Send& a) { send(a); },
+          [&](const cranemux::Cancel& a) {
+            RpcId id = 0;
+            const auto* rpc = find(a.request, id);
+            if (!rpc || rpc->out == 0) return;
+            const bool awaited = rpc->channel != nullptr;
+            if (!awaited || !attempts_->pass_on(id, a.attempt)) attempts_->cancel(id, a.attempt);
+          },
+          [&](const cranemux::Refuse& a) {
+            end_rpc(
+                a.request,
+                {.ending = Ending::unavailable, .retry_after = nanoseconds(a.retry_after), .why = "refused"});
+          },
+          [&](const cranemux::Fail& a) { end_rpc(a.request, {.ending = Ending::failed, .why = "failed"}); },
+          [&](const cranemux::SetTimer& a) {
+            timers_.emplace(Clock::time_point(nanoseconds(a.at)), a.token);
+          },
+          [&](const cranemux::SendToPeer& a) { peers_->tell(a.to, a.bytes); },
+          [&](const cranemux::SpentElsewhere& a) {
+            if (spent_) spent_(a);
+          },
+          [&](const cranemux::Log& a) { logger_.log(metrics::Level::info, a.text); },
+          [&](const cranemux::WatchServers&) {},  // the resolver always watches
+          [&](const cranemux::Probe&) {},         // the module asks for none
+      },
+      action);
 }
 
 void Core::count(cranemux::Result result) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -38,8 +39,9 @@
 // What call attempts carry to a worker: made by a front, read by the attempt layer only.
 struct Payload {
   virtual ~Payload() = default;
-  virtual bool repeatable() const { return true; }  // all of it is still held
-  virtual bool shared() const { return true; }      // two attempts may send it at the same time
+  virtual bool repeatable() const { return true; }    // all of it is still held
+  virtual bool shared() const { return true; }        // two attempts may send it at the same time
+  virtual std::string_view id() const { return {}; }  // as its client named it, for the log
   // Told at the end of an RPC that may have run and is not of a class that may simply be repeated.
   // `patience`: for how long clients of its class come again, at most.
   virtual void may_have_run(nanoseconds /*patience*/) const {}
@@ -54,6 +56,7 @@
   metrics::Lane* lane = nullptr;      // of a stream: whoever ends it counts how
   nanoseconds retry_after{};          // unavailable: when to come back
   nanoseconds left{};                 // unavailable: of the RPC's time
+  std::string_view why = {};          // for the log
   bool out = false;                   // its call attempt may still be at work
 };
 
@@ -94,6 +97,9 @@
   virtual void limit_patience(RpcId rpc, Clock::time_point at) = 0;
   // The client has gone: what has not reached a worker whole never does.
   virtual void withdraw(RpcId rpc) = 0;
+  // An attempt whose answer has begun, so that its client can be given it as it comes, ends with what has
+  // come of it, instead of being given up. False: it has not begun.
+  virtual bool pass_on(RpcId rpc, int attempt) = 0;
 };
 
 class Peers {
@@ -171,7 +177,9 @@
     metrics::Lane* lane = nullptr;     // of its class
     const cranemux::ClassSettings* klass = nullptr;
     int attempts = 0, out = 0;  // begun, and without an end
-    bool may_have_run = false, gone = false;
+    bool may_have_run = false;
+    Clock::time_point taken = Clock::now();
+    std::optional<FinalAnswer> otherwise;  // given if the answer that has begun cannot be passed on
   };
   using Rpcs = std::unordered_map<RpcId, Rpc>;
 
@@ -185,6 +193,9 @@
   static bool harmless(const Rpc& rpc);  // may be called unavailable
   bool may_send(const Rpc& rpc) const;
   void finish(RpcId id, Rpc& rpc, FinalAnswer&& answer);
+  void end(RpcId id, Rpc& rpc, FinalAnswer&& answer);
+  bool passes_on(RpcId id, const Rpc& rpc);
+  void log_answer(RpcId id, const Rpc& rpc, const FinalAnswer& answer);
   void give_up(RpcId id);
   void drop_if_over(RpcId id);
   void count_use(const RpcTerms& terms);
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -24,14 +24,12 @@
  public:
   PlatformExchange(const http::Message& message, std::string_view target,
                    std::shared_ptr<const std::vector<std::string>> load_fields, std::shared_ptr<OpenIds> open,
-                   std::shared_ptr<RecentIds> recent, std::string id, bool runs_once,
-                   std::shared_ptr<attempt::BodyPipe> pipe)
+                   std::shared_ptr<RecentIds> recent, std::string id, std::shared_ptr<attempt::BodyPipe> pipe)
       : pipe_(std::move(pipe)),
         load_fields_(std::move(load_fields)),
         open_(std::move(open)),
         recent_(std::move(recent)),
-        id_(std::move(id)),
-        runs_once_(runs_once) {
+        id_(std::move(id)) {
     open_->insert(id_);
     head_.append(message.method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ");
     head_.append(message.field("Host").value_or("worker")).append("\r\nReq-Id: ");
@@ -64,7 +62,7 @@
   }
 
   bool may_be_long() const override { return true; }
-  bool runs_once() const override { return runs_once_; }
+  std::string_view id() const override { return id_; }
   std::shared_ptr<attempt::BodyPipe> body() const override { return pipe_; }
   bool repeatable() const override { return !pipe_ || pipe_->repeatable(); }
 
@@ -95,7 +93,6 @@
   std::shared_ptr<OpenIds> open_;
   std::shared_ptr<RecentIds> recent_;
   std::string id_;
-  const bool runs_once_;
 };
 
 Reply unavailable(std::chrono::nanoseconds come_back) { return {429, {}, retry_after_field(come_back)}; }
@@ -186,9 +183,8 @@
   const auto target = incoming.target.empty() ? message.target : incoming.target;
   std::string id(*message.field("Req-Id"));
   if (on_taken && !core_.is(terms.klass, cranemux::Repeat::safe)) on_taken(id);
-  const bool runs_once = core_.is(terms.klass, cranemux::Repeat::unsafe);
   auto payload = std::make_shared<PlatformExchange>(message, target, load_fields_, open_, recent_,
-                                                    std::move(id), runs_once, incoming.body);
+                                                    std::move(id), incoming.body);
   payload->lasts = incoming.lasts;
   return {std::nullopt, core_.take(std::move(terms), std::move(payload), incoming.channel)};
 }
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -41,7 +41,11 @@
   Count subscription_events = 0;
   Count exports_sent = 0, exports_dropped = 0;
   Count management_calls = 0, management_evicted = 0;
-  Count answers_relayed = 0, answers_broken_off = 0, bodies_relayed = 0, bodies_ended_unread = 0;
+  Count answers_relayed = 0, answers_broken_off = 0;
+  Count answers_kept_past_end = 0;  // had begun when their attempt would have ended, and are passed on
+  Count answers_given_up = 0;       // had begun, as their client left or another attempt answered first
+  Count bodies_relayed = 0, bodies_ended_unread = 0;
+
   Count handovers = 0, handovers_refused = 0, handover_dropped = 0, takeovers = 0;
 
   template <typename Visit>
@@ -129,6 +133,8 @@
     visit("management_evicted", self.management_evicted);
     visit("answers_relayed", self.answers_relayed);
     visit("answers_broken_off", self.answers_broken_off);
+    visit("answers_kept_past_end", self.answers_kept_past_end);
+    visit("answers_given_up", self.answers_given_up);
     visit("bodies_relayed", self.bodies_relayed);
     visit("bodies_ended_unread", self.bodies_ended_unread);
     visit("handovers", self.handovers);
--- a/tests/slow_workers_test.cpp
+++ b/tests/slow_workers_test.cpp
@@ -117,9 +117,14 @@
 constexpr milliseconds kWriting{1500};
 constexpr std::size_t kKilo = 1024;
 constexpr Writing kWritings[] = {
-    {"lumps in chunks", true, 3, 10 * kKilo},     {"lumps to the end", false, 3, 10 * kKilo},
-    {"lumps in chunks", true, 3, 60 * kKilo},     {"lumps to the end", false, 3, 60 * kKilo},
-    {"steadily in chunks", true, 100, 2 * kKilo}, {"steadily to the end", false, 100, 2 * kKilo},
+    {"a lump behind a pause, in chunks", true, 1, 20 * kKilo},
+    {"a lump behind a pause, to the end", false, 1, 20 * kKilo},
+    {"lumps in chunks", true, 3, 10 * kKilo},
+    {"lumps to the end", false, 3, 10 * kKilo},
+    {"lumps in chunks", true, 3, 60 * kKilo},
+    {"lumps to the end", false, 3, 60 * kKilo},
+    {"steadily in chunks", true, 100, 2 * kKilo},
+    {"steadily to the end", false, 100, 2 * kKilo},
 };
 
 // Classes with an aim of 205 ms whose answers earn nothing past it, as the classes of short days have it.
