Answer a long request in time though its end lies in its client's own buffer

What callers saw: where a worker read a large request slowly, the final answer came seconds after its time (6 to 27 s after the return of the client's last write, of a wait of 1.5 s).

Cause: "the last byte of a request starts its time", and it is written once the client's system has taken it. While the worker takes no more the gatekeeper reads no further, so up to 4 MB lie in the client's send buffer. `BodyArrival` sees what has reached this machine only, so the time began when the worker had made room for the rest. The test that was there used 3 MB, which the gatekeeper's side takes whole.

Change: `LastByteEstimate` says since when the last byte may have been written: not while all that has come is read (then the client's machine holds nothing back), nor while more is missing than a client's machine holds. A request that is refused too early by this is one whose worker would have needed longer for the buffers than the request has. The same estimate shortens what a worker is told in `Req-Deadline-Ms`, which was the whole wait also where the last byte had been written for as long as the request was held.

Rejected: reading on (32 MB is more than memory holds), spooling ($TMPDIR is counted as memory).

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -355,6 +355,7 @@
   AttemptLimits limits;
   limits.patience = nanoseconds(send.timeout);
   limits.told = rpc->terms.budget;
+  if (rpc->terms.uploading) limits.told -= rpc->channel->waited();
   limits.deadline = rpc->guard;
   if (send.send_deadline > 0) limits.whole_by = Clock::time_point(nanoseconds(send.send_deadline));
   attempts_->start(id, rpc->attempts++, send.server, limits, rpc->payload);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -68,6 +68,8 @@
   // Asked before an attempt begins, as the client's end may have come behind bytes that are not read yet.
   // True: it has gone, which `abandoned` was told from within the call.
   virtual bool left() { return false; }
+  // For how long, at most, the last byte of an RPC that is uploading may have been written.
+  virtual nanoseconds waited() const { return {}; }
 };
 
 struct AttemptResult {
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -16,6 +16,9 @@
 
 constexpr milliseconds kAcceptPause{20};  // where there is no room at all, or descriptors have run out
 constexpr milliseconds kSweep{100};
+// A request whose last byte may have been written is answered so long before its time is over: looks are a
+// sweep apart.
+constexpr std::chrono::nanoseconds kEarly = 2 * kSweep;
 constexpr milliseconds kLook{50};       // a request waits no longer than this before its client is looked for
 constexpr milliseconds kLeaving{1000};  // the rest of a flood after the last answer
 constexpr std::size_t kHeld = 1024 * 1024, kHeldPressed = 64 * 1024;  // of a body that is on its way
@@ -149,6 +152,7 @@
 void HttpChannel::took(Handled&& handled) {
   if (!handled.reply) {
     rpc_ = handled.rpc;
+    if (upload_) upload_->budget = handled.budget;
     context_ = std::move(handled.context);
     return;
   }
@@ -224,6 +228,8 @@
   if (!whole) since_ = since;  // it is still being read
   upload_->asked = true;
   upload_->looked = net::Clock::now();
+  boost::system::error_code ignored;
+  if (!whole) observe_body(upload_->looked, socket_.available(ignored));
   ++server_.counters_.bodies_relayed;
   Incoming incoming{message, shared_from_this()};
   incoming.body = upload_->pipe;
@@ -241,9 +247,11 @@
   boost::system::error_code error;
   const auto unread = socket_.available(error);
   const auto looked = std::exchange(upload_->looked, now);
-  if (error || !upload_->arrival.complete({upload_->reader, in_, upload_->read, unread,
-                                           [this, unread] { return net::peek(socket_, unread); }}))
-    return;
+  if (error) return;
+  observe_body(now, unread);
+  if (!upload_->arrival.complete({upload_->reader, in_, upload_->read, unread,
+                                  [this, unread] { return net::peek(socket_, unread); }}))
+    return begin_time_if_due();
   ++server_.counters_.bodies_ended_unread;
   server_.logger_.log(metrics::Level::debug,
                       "the end of a body has arrived and its worker takes no more: ", unread,
@@ -251,6 +259,31 @@
   begin_time(now - looked);
 }
 
+void HttpChannel::observe_body(net::Clock::time_point now, std::size_t unread) {
+  const auto left = upload_->reader.length_left();
+  const auto length = left ? std::optional(upload_->read - in_.size() + *left) : std::nullopt;
+  upload_->last_byte.look(now, upload_->read + unread, length, unread == 0);
+}
+
+// What lies in the client's own buffer is not seen from here. Its request is answered in time all the same:
+// as if the last byte had been written as early as it may have been.
+void HttpChannel::begin_time_if_due() {
+  const auto time = waited();
+  const auto& budget = upload_->budget;
+  if (time <= std::chrono::nanoseconds{} || time < budget - std::min(kEarly, budget / 2)) return;
+  ++server_.counters_.bodies_end_unseen;
+  server_.logger_.log(metrics::Level::debug, "the end of a body may have been written for ",
+                      std::chrono::duration_cast<milliseconds>(time).count(),
+                      " ms and its worker takes no more, rpc=", rpc_);
+  begin_time(time);
+}
+
+std::chrono::nanoseconds HttpChannel::waited() const {
+  if (!upload_ || upload_->timed || upload_->done) return {};
+  const auto since = upload_->last_byte.since();
+  return since ? net::Clock::now() - *since : std::chrono::nanoseconds{};
+}
+
 // Whoever empties the pipe is told that no more will come.
 void HttpChannel::end_upload() {
   if (const auto upload = std::exchange(upload_, nullptr)) {
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -16,6 +16,7 @@
 #include "core/core.h"
 #include "front/body_arrival.h"
 #include "front/channel_policy.h"
+#include "front/last_byte_estimate.h"
 #include "http/http.h"
 #include "lifecycle/lifecycle.h"
 #include "net/net.h"
@@ -56,6 +57,7 @@
   net::awaitable<void> run();
   void answer(core::RpcId rpc, core::FinalAnswer&& answer) override;
   bool left() override;
+  std::chrono::nanoseconds waited() const override;
   void close_between_requests();
   // Of a stream: a part goes to the client, or waits until it takes more. False: the client has gone.
   bool send(std::string_view part);
@@ -99,12 +101,16 @@
     std::size_t received = 0;
     std::uint64_t read = 0;  // bytes of the connection, with what frames the body
     BodyArrival arrival;
-    bool asked = false, done = false;  // the RPC is taken; the last byte has been read
-    bool timed = false;                // the last byte has reached this machine: the RPC's time runs
+    LastByteEstimate last_byte;
+    std::chrono::nanoseconds budget{};  // of the RPC, once it is taken
+    bool asked = false, done = false;   // the RPC is taken; the last byte has been read
+    bool timed = false;                 // the last byte has reached this machine: the RPC's time runs
     net::Clock::time_point paused, looked;
   };
   bool uploading() const { return upload_ && !upload_->done; }
   bool begin_upload(const http::Message& message);
+  void observe_body(net::Clock::time_point now, std::size_t unread);
+  void begin_time_if_due();
   void feed();
   void ask(bool whole);                              // puts the upload to the front
   void begin_time(std::chrono::nanoseconds waited);  // of an upload that was asked for
@@ -159,6 +165,7 @@
   std::optional<Reply> reply = {};
   core::RpcId rpc = 0;
   std::shared_ptr<void> context = {};
+  std::chrono::nanoseconds budget = {};  // of an RPC with a long body: until its client gives up
 };
 
 class Front {
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -186,7 +186,8 @@
   auto payload = std::make_shared<PlatformExchange>(message, target, load_fields_, open_, recent_,
                                                     std::move(id), incoming.body);
   payload->lasts = incoming.lasts;
-  return {std::nullopt, core_.take(std::move(terms), std::move(payload), incoming.channel)};
+  const auto budget = terms.budget;
+  return {.rpc = core_.take(std::move(terms), std::move(payload), incoming.channel), .budget = budget};
 }
 
 Reply PlatformFront::answer(core::FinalAnswer&& answer, const std::shared_ptr<void>&) {
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -45,6 +45,7 @@
   Count answers_kept_past_end = 0;  // had begun when their attempt would have ended, and are passed on
   Count answers_given_up = 0;       // had begun, as their client left or another attempt answered first
   Count bodies_relayed = 0, bodies_ended_unread = 0;
+  Count bodies_end_unseen = 0;  // answered as late, since their last byte may have been written
 
   Count handovers = 0, handovers_refused = 0, handover_dropped = 0, takeovers = 0;
 
@@ -137,6 +138,7 @@
     visit("answers_given_up", self.answers_given_up);
     visit("bodies_relayed", self.bodies_relayed);
     visit("bodies_ended_unread", self.bodies_ended_unread);
+    visit("bodies_end_unseen", self.bodies_end_unseen);
     visit("handovers", self.handovers);
     visit("handovers_refused", self.handovers_refused);
     visit("handover_dropped", self.handover_dropped);
