Evict no channel on which bytes have come that are not read yet

What callers would see: a connection that is closed with no answer though the last byte of its request had been written (PROTOCOL: then it is taken). `HttpChannel::evict` looked for unread bytes on idle and silent channels, not on one whose request is half read; where descriptors run out those go first. Read while the table of what ends an exchange was filled, not seen in a run.

--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -536,7 +536,7 @@
 bool HttpChannel::evict() {
   const auto now = state();
   if (now == State::waiting || now == State::writing || now == State::streaming) return false;
-  if ((now == State::idle || now == State::silent) && unread()) return false;
+  if (now != State::leaving && unread()) return false;
   ++server_.counters_.channels_evicted;
   if (waits_ && rpc_ != 0) server_.front_.abandoned(std::exchange(rpc_, 0), context_);
   cut();
