Retry no upload elsewhere before its last byte has come

What callers would see: a long request of a class that may be repeated with a key is taken from a worker that reads it, 30 to 50 % of the aim after its head was sent, if two others have failed there; where more than 1 MB has gone on it cannot be sent again, and gets 429.

Cause: `DecisionModule::send` set `retry_at` by the time of the send, and `check_attempts` asked nothing else, while the request's time has not begun. Found by the table of what ends an exchange (a repeat, while the body goes to the worker). Change: none is retried while its body comes; the time counts from the last byte.

Uploads.NoneIsRetriedBeforeItsLastByte failed before (cancelled once within the second), passes now.

--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -107,11 +107,12 @@
   std::uint32_t account = 0;  // the customer's hash
   Nanos arrived = 0, deadline = 0;
   Nanos aim_end = 0;  // an answer by then earns full worth
-  Nanos hold_until = 0, retry_at = 0;
-  bool admitted = false;      // no longer held: sent, or answered
-  bool done = false;          // it has its final answer
-  bool beyond_quota = false;  // sent without tokens
-  double shed_draw = 0;       // random, from 0 to under 1: compared with the admitted share
+  Nanos hold_until = 0;
+  Nanos retry_after = 0, retry_at = 0;  // an attempt is late so long after it was sent, or its last byte came
+  bool admitted = false;                // no longer held: sent, or answered
+  bool done = false;                    // it has its final answer
+  bool beyond_quota = false;            // sent without tokens
+  double shed_draw = 0;                 // random, from 0 to under 1: compared with the admitted share
   int attempts_out = 0;
   std::vector<Attempt> attempts;
 };
@@ -402,7 +403,11 @@
   }
   void on(const Uploaded& uploaded) {
     const auto at = jobs_.find(uploaded.request);
-    if (at != jobs_.end()) set_deadlines(at->second, now_ - uploaded.waited);
+    if (at == jobs_.end()) return;
+    auto& job = at->second;
+    job.request.uploading = false;
+    job.retry_at = now_ + job.retry_after;
+    set_deadlines(job, now_ - uploaded.waited);
   }
 
   // Returns the time since the client's first try, from which the aim counts. A later try's budget is the
@@ -878,9 +883,9 @@
   void send(Job& job, int server) {
     auto& target = servers_[static_cast<std::size_t>(server)];
     const auto aim = static_cast<double>(job.klass->aim);
-    const auto retry_after = aim * std::clamp(kTimeoutPerMeanAnswer * answer_times_.of(target),
-                                              kMinTimeoutAimShare, kMaxTimeoutAimShare);
-    job.retry_at = now_ + static_cast<Nanos>(retry_after);
+    job.retry_after = static_cast<Nanos>(aim * std::clamp(kTimeoutPerMeanAnswer * answer_times_.of(target),
+                                                          kMinTimeoutAimShare, kMaxTimeoutAimShare));
+    job.retry_at = now_ + job.retry_after;
     const auto timeout = end_of(job) - now_, send_deadline = repeat_deadline(job);
     job.attempts.push_back({server, now_, true, true, false});
     job.attempts_out += 1;
@@ -1024,7 +1029,7 @@
       if (job.done || !job.admitted) continue;
       if (now_ >= end_of(job) - (late_answer_pays(job) ? kTick : 0)) {
         finish(job);
-      } else if (job.attempts_out > 0 && now_ >= job.retry_at && may_repeat(job)) {
+      } else if (job.attempts_out > 0 && !job.request.uploading && now_ >= job.retry_at && may_repeat(job)) {
         retry_elsewhere(job);
       }
     }
--- a/tests/decision_module_test.cpp
+++ b/tests/decision_module_test.cpp
@@ -1234,5 +1234,37 @@
   EXPECT_EQ(gateway.failed.count("u"), 1U);  // it may have run
 }
 
+// Guards against a long request that is taken away from its server while its body still comes, as others have
+// failed there: its time has not begun, and a body that has gone on cannot be sent again.
+TEST(Uploads, NoneIsRetriedBeforeItsLastByte) {
+  Gateway gateway(single_gateway_settings(), {server("a")});
+  auto upload = gateway.request("u", "rate", "hold", "c0");
+  upload.uploading = true;
+  gateway.feed({upload});
+  ASSERT_EQ(gateway.sends.size(), 1U);
+  std::size_t cancelled = 0;
+  const auto run = [&](Nanos time) {
+    for (const auto until = gateway.now + time; gateway.now < until;) {
+      gateway.now += 10 * kMs;
+      for (const auto& action : gateway.feed({Timer{1}})) {
+        const auto* cancel = std::get_if<Cancel>(&action);
+        cancelled += cancel && cancel->request == "u";
+      }
+    }
+  };
+  for (const auto* id : {"r1", "r2"}) {
+    gateway.feed({gateway.request(id, "rate", "look", id)});
+    ASSERT_EQ(gateway.sends.back().request, id);
+    gateway.feed({gateway.outcome(id, Result::timeout, 0, kSecond)});
+  }
+  run(kSecond);
+  EXPECT_EQ(cancelled, 0U);
+  gateway.feed({Uploaded{"u"}});
+  run(100 * kMs);
+  EXPECT_EQ(cancelled, 0U);  // it is no later than any other by then
+  run(200 * kMs);
+  EXPECT_EQ(cancelled, 1U);
+}
+
 }  // namespace
 }  // namespace cranemux
