Soak: workers that write long answers of no told length slowly, as a kind of trouble

Both nodes answer with 64 to 128 KB in one to three lumps over up to 1.1 s each, in chunks or to the end of the connection, on the platform's form (GraphQL's answers are held whole). The stand-in client reads long answers; of one beyond 64 KiB the first byte is timed. A node that sees its connection end while it writes says so, and `Rules` breaks where the client had not left.

--- a/testing/client.cpp
+++ b/testing/client.cpp
@@ -82,6 +82,36 @@
   co_return true;
 }
 
+net::awaitable<Client::Answer> Client::read_answer(std::shared_ptr<net::tcp::socket> socket) {
+  Answer answer;
+  std::string in;
+  http::Message head;
+  while (http::parse_head(in, http::Kind::response, head).state != http::State::whole) {
+    const auto came = co_await net::read_more(*socket, in);
+    if (came == 0) co_return answer;
+    if (!std::exchange(answer.begun, true)) answer.began = Clock::now();
+  }
+  const int status = head.status;
+  const bool keeps = head.keep_alive;
+  answer.retry_after = head.field("Retry-After").value_or("");
+  int ignored = 0;
+  const auto framing = http::framing(head, http::Kind::response, ignored);
+  if (!framing) co_return answer;
+  in.erase(0, head.size);
+  http::BodyReader reader(*framing);
+  auto state = reader.take(in, answer.body);
+  while (state == http::BodyReader::State::more) {
+    const auto error = co_await net::read_some(*socket, in);
+    if (error && error != net::asio::error::eof) co_return answer;
+    state = reader.take(in, answer.body, error == net::asio::error::eof);
+    if (error && state == http::BodyReader::State::more) co_return answer;
+  }
+  if (state == http::BodyReader::State::bad) co_return answer;
+  answer.status = status;
+  answer.keeps = keeps && in.empty() && framing->kind != http::Framing::Kind::until_end;
+  co_return answer;
+}
+
 net::awaitable<void> Client::exchange(Ask ask, std::string id) {
   const std::weak_ptr<char> alive = alive_;
   Result result;
@@ -121,30 +151,26 @@
       });
     }
     const bool sent = !error && co_await write(socket, out, ask.piece);
-    std::string in;
-    http::Message message;
-    http::Verdict verdict;
-    while (sent && verdict.state == http::State::partial) {
-      if (co_await net::read_more(*socket, in) == 0) break;
-      verdict = http::parse(in, http::Kind::response, message);
-    }
+    Answer answer;
+    if (sent) answer = co_await read_answer(socket);
     if (alive.expired()) co_return;
     leaving.cancel();
     if (ask.leaves_after.count() > 0 && !socket->is_open()) {
       if (rules_) rules_->left(id, result.sent + ask.leaves_after);
       break;
     }
-    if (verdict.state == http::State::whole) {
-      result.status = message.status;
-      result.body = message.body;
-      result.retry_after = message.field("Retry-After").value_or("");
-      if (message.keep_alive && message.size == in.size()) idle_.push_back(socket);
-    } else if (!reused || !in.empty()) {
+    if (answer.status != 0) {
+      result.status = answer.status;
+      result.timed = (answer.body.size() > kHeldWhole ? answer.began : Clock::now()) - result.sent;
+      result.body = std::move(answer.body);
+      result.retry_after = std::move(answer.retry_after);
+      if (answer.keeps) idle_.push_back(socket);
+    } else if (!reused || answer.begun) {
       break;
     }
   }
   result.took = Clock::now() - result.sent;
-  if (rules_ && result.status != 0) rules_->answered(id, result.status, Clock::now());
+  if (rules_ && result.status != 0) rules_->answered(id, result.status, result.sent + result.timed);
   results_.push_back(result);
   --open_;
   if (ask.done) ask.done(result);
--- a/testing/client.h
+++ b/testing/client.h
@@ -19,7 +19,10 @@
   std::string id, body, retry_after;
   Clock::time_point sent;
   std::chrono::nanoseconds took{};
+  // What counts for its time: the last byte of an answer, of one beyond kHeldWhole the first.
+  std::chrono::nanoseconds timed{};
 };
+constexpr std::size_t kHeldWhole = std::size_t{64} * 1024;  // bytes of a body
 
 struct Ask {
   std::string host = "app.svc", target = "/api", klass = "job-status", plan = "business",
@@ -60,6 +63,13 @@
 
  private:
   net::awaitable<void> exchange(Ask ask, std::string id);
+  struct Answer {
+    int status = 0;  // 0: it was not whole
+    std::string body, retry_after;
+    bool keeps = false, begun = false;
+    Clock::time_point began;  // its first byte
+  };
+  net::awaitable<Answer> read_answer(std::shared_ptr<net::tcp::socket> socket);
   // False: the connection has failed.
   net::awaitable<bool> write(std::shared_ptr<net::tcp::socket> socket, std::string bytes, std::size_t piece);
   net::awaitable<void> pour(double per_s, std::size_t count, std::function<Ask(std::size_t)> make);
--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -142,6 +142,12 @@
     talk.socket.set_option(net::asio::socket_base::linger(true, 0));
     co_return false;
   }
+  if (const auto slow = paced ? paced(message) : std::nullopt) {
+    const bool taken = co_await write_paced(talk.socket, *slow);
+    if (alive.expired()) co_return false;
+    if (!taken && rules_) rules_->cut(known);
+    co_return taken && !slow->ends;
+  }
   if (const auto bytes = raw ? raw(message) : std::nullopt) {
     const auto [error, count] =
         co_await net::asio::async_write(talk.socket, net::asio::buffer(*bytes), net::kResult);
--- a/testing/node.h
+++ b/testing/node.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "http/http.h"
+#include "testing/paced_answer.h"
 #include "testing/rules.h"
 #include "testing/stage.h"
 
@@ -56,8 +57,9 @@
   // Bytes that are sent instead of an answer, as they are; then the connection ends where `raw_ends`.
   std::function<std::optional<std::string>(const http::Message&)> raw;
   bool raw_ends = false;
-  std::size_t connections() const { return connections_; }  // that have come so far
-  void close();                                             // stops listening, and breaks all connections
+  std::function<std::optional<PacedAnswer>(const http::Message&)> paced;  // none: an answer as ever
+  std::size_t connections() const { return connections_; }                // that have come so far
+  void close();  // stops listening, and breaks all connections
 
   std::size_t taken() const { return taken_; }  // requests whose last byte has come
   const std::map<std::string, std::size_t>& runs() const { return runs_; }  // by request id
--- a/testing/rules.cpp
+++ b/testing/rules.cpp
@@ -36,6 +36,8 @@
 
 void Rules::ran(const std::string& id) { ++asks_[id].runs; }
 
+void Rules::cut(const std::string& id) { ++asks_[id].cuts; }
+
 void Rules::over(const std::string& id, Time) { --asks_[id].out; }
 
 void Rules::drained(const std::string& node, Time at) { drains_[node].push_back({at, Time::max()}); }
@@ -65,6 +67,7 @@
       out.push_back(id + " was answered past its deadline");
     }
     if (ask.most_out > 1) out.push_back(id + " had two call attempts out at once");
+    if (ask.cuts > 0 && !ask.left) out.push_back(id + " was cut off while its node wrote the answer");
     if (!ask.safe && ask.runs > 1)
       out.push_back(id + " may not be repeated and ran " + std::to_string(ask.runs) + " times");
     for (const auto& [status, at] : ask.answers) {
--- a/testing/rules.h
+++ b/testing/rules.h
@@ -26,6 +26,7 @@
   void begun(const std::string& id, const std::string& node, Time at);
   void ran(const std::string& id);
   void over(const std::string& id, Time at);  // answered, or its connection ended
+  void cut(const std::string& id);            // its connection ended while the node still wrote its answer
   // Asked before an attempt is taken for a second one out: whoever has one of that id looks whether its
   // connection has ended, since ends and beginnings on different connections come in any order.
   void watch(std::function<void(const std::string& id)> look) { looks_.push_back(std::move(look)); }
@@ -75,7 +76,7 @@
     Span deadline{};
     std::vector<std::pair<int, Time>> answers;
     std::optional<Time> left;
-    std::size_t runs = 0;
+    std::size_t runs = 0, cuts = 0;
     int out = 0, most_out = 0;
   };
   struct Begin {
--- a/testing/slow_worker.cpp
+++ b/testing/slow_worker.cpp
@@ -1,7 +1,5 @@
 #include "testing/slow_worker.h"
 
-#include <cstdio>
-
 #include "http/http.h"
 
 namespace cranemux::testing {
@@ -9,20 +7,8 @@
 
 constexpr int kReceiveBuffer = 64 * 1024;  // bytes: little is taken that is not read
 
-// Whether the other side has ended the connection.
-bool ended(net::tcp::socket& socket) {
-  char byte = 0;
-  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 }  // namespace
 
-std::string chunk(const std::string& data) {
-  char size[20];
-  std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-  return size + data + "\r\n";
-}
-
 SlowWorker::SlowWorker(Stage& stage) : stage_(stage), acceptor_(stage.io(), net::tcp::v4()) {
   acceptor_.set_option(net::asio::socket_base::receive_buffer_size(kReceiveBuffer));
   acceptor_.bind({net::asio::ip::make_address("127.0.0.1"), 0});
@@ -48,7 +34,9 @@
   for (;;) {
     const bool came = co_await read_request(*socket);
     if (!came) co_return;
-    const bool taken = co_await write_answer(*socket);
+    const PacedAnswer paced{answer, ends};
+    const bool taken = co_await write_paced(*socket, paced);
+    if (!taken) ++cut;
     if (!taken || ends) co_return;
   }
 }
@@ -72,18 +60,4 @@
   co_return true;
 }
 
-// False: the other side has ended the connection.
-net::awaitable<bool> SlowWorker::write_answer(net::tcp::socket& socket) {
-  const auto pieces = answer;
-  for (const auto& piece : pieces) {
-    co_await pause(piece.after);
-    const auto [error, count] =
-        co_await net::asio::async_write(socket, net::asio::buffer(piece.bytes), net::kResult);
-    if (!error && !ended(socket)) continue;
-    ++cut;
-    co_return false;
-  }
-  co_return true;
-}
-
 }  // namespace cranemux::testing
--- a/testing/slow_worker.h
+++ b/testing/slow_worker.h
@@ -6,21 +6,17 @@
 #include <vector>
 
 #include "metrics/logger.h"
+#include "testing/paced_answer.h"
 #include "testing/stage.h"
 
 namespace cranemux::testing {
 
 class SlowWorker {
  public:
-  struct Piece {
-    milliseconds after;  // the one before it
-    std::string bytes;
-  };
-
   explicit SlowWorker(Stage& stage);
   std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
 
-  std::vector<Piece> answer;
+  std::vector<PacedAnswer::Piece> answer;
   bool ends = false;                             // the connection, after the answer
   std::size_t reads = std::size_t{1024} * 1024;  // bytes of a body at most ...
   milliseconds every{0};                         // ... in such a time
@@ -33,14 +29,10 @@
   net::awaitable<void> pause(milliseconds time);
   net::awaitable<void> serve(std::shared_ptr<net::tcp::socket> socket);
   net::awaitable<bool> read_request(net::tcp::socket& socket);
-  net::awaitable<bool> write_answer(net::tcp::socket& socket);
 
   Stage& stage_;
   net::tcp::acceptor acceptor_;
   metrics::Logger logger_{2, metrics::Level::error};
 };
 
-// `data` as one chunk.
-std::string chunk(const std::string& data);
-
 }  // namespace cranemux::testing
--- a/tests/soak_plan.cpp
+++ b/tests/soak_plan.cpp
@@ -36,6 +36,7 @@
     Kind{Fault::node_declines, "node_declines", milliseconds(500), milliseconds(3000)},
     Kind{Fault::node_unlisted, "node_unlisted", milliseconds(2500), milliseconds(5000)},
     Kind{Fault::nodes_late, "nodes_late", milliseconds(500), milliseconds(3000)},
+    Kind{Fault::nodes_write_slowly, "nodes_write_slowly", milliseconds(1000), milliseconds(5000)},
     Kind{Fault::crowd, "crowd", milliseconds(300), milliseconds(2500)},
 };
 
--- a/tests/soak_plan.h
+++ b/tests/soak_plan.h
@@ -36,6 +36,7 @@
   node_declines,       // one node declines
   node_unlisted,       // one node is taken out of all files, and put back
   nodes_late,          // both nodes take a second
+  nodes_write_slowly,  // both nodes write long answers of no told length, in lumps with pauses
   crowd,               // idle clients take most of the descriptors, and leave at once
 };
 const char* name_of(Fault fault);
--- a/tests/soak_run.cpp
+++ b/tests/soak_run.cpp
@@ -325,7 +325,31 @@
       if (goes_on(Fault::node_resets) && i == 0) behaviour.answer = Answer::reset;
       if (goes_on(Fault::node_declines) && i == 0) behaviour.answer = Answer::declined;
       if (goes_on(Fault::nodes_stall)) behaviour.answer = Answer::stall;
+      tier_.nodes[i]->paced = {};
+      if (goes_on(Fault::nodes_write_slowly) && !plan_.graphql) {
+        tier_.nodes[i]->paced = [this](const auto&) { return draw_slow_answer(); };
+      }
+    }
+  }
+  // In chunks or to the end of its connection, of a few lumps with pauses between them.
+  testing::PacedAnswer draw_slow_answer() {
+    constexpr std::size_t kLumps = 3;
+    constexpr int kMostPause = 1600;                                        // ms, over all
+    constexpr std::size_t kLeast = testing::kHeldWhole, kMore = 64 * 1024;  // bytes in all
+    const bool chunked = tier_.random() % 2 == 0;
+    const auto lumps = 1 + tier_.random() % kLumps;
+    const std::string lump((kLeast + tier_.random() % kMore) / lumps + 1, 'a');
+    testing::PacedAnswer answer;
+    answer.ends = !chunked;
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    text += chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+    for (std::size_t i = 0; i < lumps; ++i) {
+      const auto pause = i == 0 ? 5 : tier_.random() % (kMostPause / kLumps * 2);
+      text += chunked ? testing::chunk(lump) : lump;
+      answer.pieces.push_back({milliseconds(pause), std::exchange(text, {})});
     }
+    if (chunked) answer.pieces.push_back({milliseconds(0), "0\r\n\r\n"});
+    return answer;
   }
 
   // ---- what has to hold ----
