Give the number of an attempt one owner, so that each one that is lent comes back

Cause: `Core::send` asks whether the client has left; where it has and no attempt is out the RPC is dropped there, and the retry that was not sent was told to the module as attempt 0, whose outcome it had had. It waited for attempt 1 for ever: a place in the worker's window, the customer's count and the job. Module and core counted attempts apart and had to agree.

Change: the module numbers attempts, `Send` carries the number, the core and the attempts use that one. `DecisionModule::outstanding` and `Core::attempts_out` tell what is out by either count.

EndOfAnRpc.ReturnsTheSecondAttemptOfAClientThatHasLeft and the property EndOfAnRpc.LeavesNothingOut (random orders of requests, outcomes, departures, lists and turns: nothing is out once no request is left) fail with the old number planted (the property after 97 tests), pass now.

--- a/include/cranemux/decision_module.h
+++ b/include/cranemux/decision_module.h
@@ -192,7 +192,7 @@
 // End of an attempt: exactly one for each Send.
 struct Outcome {
   std::string request;
-  int attempt = 0;  // counted from 0 in the order of the request's Sends
+  int attempt = 0;  // of the Send that it answers
   Result result = Result::ok;
   Nanos took = 0;            // duration of the attempt
   bool finished = false;     // the request has had its final answer
@@ -254,11 +254,12 @@
 
 // ---- actions ------------------------------------------------------------------------------------
 
-// Starts an attempt of a request. Attempts of one request are counted from 0 in the order they are sent.
+// Starts an attempt of a request, which is answered by exactly one Outcome of its number.
 struct Send {
   std::string request, server;
   Nanos timeout = 0;        // of the attempt, from now on
   Nanos send_deadline = 0;  // time by which its last byte must be sent, else it must not be; 0: none
+  int attempt = 0;          // its number: counted from 0 in the order of the request's Sends
 };
 
 // Cancels an attempt; its Outcome still follows. Only with Settings::cancel.
@@ -313,6 +314,14 @@
   double rate = 0;               // units per second
 };
 
+// Attempts without an outcome and requests that are not over, as the module counts them: all are 0 once every
+// request has its final answer and every Send its Outcome.
+struct Outstanding {
+  std::size_t requests = 0;
+  int at_servers = 0, of_customers = 0, of_requests = 0;  // the same attempts, counted in three places
+  bool operator==(const Outstanding&) const = default;
+};
+
 // Makes the decisions of one gateway; how it is used is said at the head of this file.
 class DecisionModule {
  public:
@@ -332,6 +341,7 @@
   std::optional<Allowance> allowance(Nanos now, const std::string& customer) const;
   // Number of servers in the list that get no requests now, because they drain or are ejected for failures.
   std::size_t unavailable_servers(Nanos now) const;
+  Outstanding outstanding() const;
   // State for the next process of this gateway; empty before the first step or where quotas are guarded.
   std::string save() const;
   // Takes over a state from save(), before the first step, and appends actions. False, with nothing changed,
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -139,6 +139,12 @@
   drop_if_over(id);
 }
 
+int Core::attempts_out() const {
+  int out = 0;
+  for (const auto& [id, rpc] : rpcs_) out += rpc.out;
+  return out;
+}
+
 std::size_t Core::avoided() const {
   return module_.unavailable_servers(
       std::chrono::duration_cast<nanoseconds>(Clock::now().time_since_epoch()).count());
@@ -335,16 +341,11 @@
   if (rpc && rpc->channel && rpc->channel->left()) rpc = find(send.request, id);
   if (!rpc || !may_send(*rpc)) {
     // Over, or a second copy, or a second run of what must run once: never sent.
-    if (rpc) ++rpc->attempts;
+    if (rpc) rpc->attempts = send.attempt + 1;
     ++counters_.attempts_moot;
     logger_.log(metrics::Level::debug, "moot call attempt of rpc ", id);
-    return push(cranemux::Outcome{send.request,
-                                  rpc ? rpc->attempts - 1 : 0,
-                                  cranemux::Result::not_sent,
-                                  0,
-                                  !rpc || !rpc->channel,
-                                  0,
-                                  {}});
+    return push(cranemux::Outcome{
+        send.request, send.attempt, cranemux::Result::not_sent, 0, !rpc || !rpc->channel, 0, {}});
   }
   if (rpc->attempts == 0) {
     if (const auto use = use_.find(rpc->terms.customer); use != use_.end())
@@ -358,7 +359,8 @@
   if (rpc->terms.uploading) limits.told -= rpc->channel->waited();
   limits.deadline = rpc->guard;
   if (send.send_deadline > 0) limits.whole_by = Clock::time_point(nanoseconds(send.send_deadline));
-  attempts_->start(id, rpc->attempts++, send.server, limits, rpc->payload);
+  rpc->attempts = send.attempt + 1;
+  attempts_->start(id, send.attempt, send.server, limits, rpc->payload);
 }
 
 void Core::carry_out(const cranemux::Action& action) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -158,6 +158,9 @@
   void forget_all() { rpcs_.clear(); }  // at the process's end: what is left has no answer
 
   std::size_t in_flight() const { return unanswered_; }
+  // Attempts without an end: by the module's count, and by the core's own.
+  cranemux::Outstanding outstanding() const { return module_.outstanding(); }
+  int attempts_out() const;
   std::size_t avoided() const;                        // workers in the list that the module sends nothing now
   std::size_t known() const { return rpcs_.size(); }  // with those answered whose call attempt is still out
   // What customers have asked for, and units sent on, for the console; the last ones only where they are
@@ -178,7 +181,7 @@
     Clock::time_point guard;           // answered by the core itself by then
     metrics::Lane* lane = nullptr;     // of its class
     const cranemux::ClassSettings* klass = nullptr;
-    int attempts = 0, out = 0;  // begun, and without an end
+    int attempts = 0, out = 0;  // that the module has numbered, and those begun without an end
     bool may_have_run = false;
     Clock::time_point taken = Clock::now();
     std::optional<FinalAnswer> otherwise;  // given if the answer that has begun cannot be passed on
--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -142,6 +142,15 @@
     return at == accounts_.end() ? std::nullopt : ledger::allowance_of(at->second, now);
   }
 
+  Outstanding outstanding() const {
+    Outstanding out;
+    out.requests = jobs_.size();
+    for (const auto& [id, job] : jobs_) out.of_requests += job.attempts_out;
+    for (const auto& server : servers_) out.at_servers += server.open;
+    for (const auto& [hash, account] : accounts_) out.of_customers += account.open_attempts;
+    return out;
+  }
+
   std::size_t unavailable_servers(Nanos now) const {
     return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const Server& s) {
       return s.entry.state == ServerState::draining ||
@@ -895,7 +904,7 @@
       hedge_tokens_ = std::min(kMaxHedgeTokens, hedge_tokens_ + kHedgeTokensPerRequest);
     accounts_[job.account].open_attempts += 1;
     act(Send{job.request.id, target.entry.id, std::max<Nanos>(timeout, kMs),
-             send_deadline == pool::kAnyTime ? 0 : send_deadline});
+             send_deadline == pool::kAnyTime ? 0 : send_deadline, static_cast<int>(job.attempts.size()) - 1});
   }
 
   // Returns whether the class and the attempts so far allow one more attempt.
@@ -1186,6 +1195,7 @@
 bool DecisionModule::restore(Nanos now, const std::string& state, std::vector<Action>& actions) {
   return impl_->restore(now, state, actions);
 }
+Outstanding DecisionModule::outstanding() const { return impl_->outstanding(); }
 std::size_t DecisionModule::unavailable_servers(Nanos now) const { return impl_->unavailable_servers(now); }
 std::string DecisionModule::guard_report(Nanos now) const { return impl_->guard_report(now); }
 void DecisionModule::step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,8 +3,10 @@
 #include "core/core.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 #include <unistd.h>
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -49,6 +51,11 @@
  public:
   void answer(RpcId, FinalAnswer&& answer) override { answers.push_back(std::move(answer)); }
   nanoseconds waited() const override { return has_waited; }
+  bool left() override {
+    if (leave) std::exchange(leave, nullptr)();
+    return false;
+  }
+  std::function<void()> leave;  // once, when the core asks before an attempt
   std::vector<FinalAnswer> answers;
   nanoseconds has_waited{};
 };
@@ -59,13 +66,17 @@
  protected:
   EndOfAnRpc() {
     core.connect(attempts, peers, host);
-    ServerEntry server;
-    server.id = "one";
-    core.resolved({ListScope::stored, {server}});
+    core.resolved({ListScope::stored, {server("one"), server("two")}});
     core.turn();
   }
+  static ServerEntry server(const std::string& id) {
+    ServerEntry entry;
+    entry.id = id;
+    return entry;
+  }
   static Settings settings() {
     Settings s;
+    s.max_attempts = 4;
     for (const auto repeat : {Repeat::safe, Repeat::unsafe}) {
       ClassSettings c;
       c.name = repeat == Repeat::safe ? "look" : "book";
@@ -81,14 +92,17 @@
     s.cancel = true;
     return s;
   }
-  RpcId take(const std::string& klass, bool uploading = false) {
+  RpcId begin(const std::string& klass, bool uploading = false) {
     RpcTerms terms;
     terms.klass = klass;
     terms.plan = "plan";
     terms.customer = "customer";
     terms.budget = kWait;
     terms.uploading = uploading;
-    const auto rpc = core.take(terms, std::make_shared<Payload>(), channel);
+    return core.take(terms, std::make_shared<Payload>(), channel);
+  }
+  RpcId take(const std::string& klass, bool uploading = false) {
+    const auto rpc = begin(klass, uploading);
     core.turn();
     EXPECT_EQ(attempts.started.size(), 1U);
     return rpc;
@@ -97,6 +111,11 @@
   void end_the_aim() {
     for (const auto until = Clock::now() + 2 * kAim; Clock::now() < until;) core.turn();
   }
+  // The module forgets what is over at its next tick.
+  void pass_a_tick() {
+    constexpr milliseconds kTick{10};
+    for (const auto until = Clock::now() + 2 * kTick; Clock::now() < until;) core.turn();
+  }
   void attempt_ends(RpcId rpc, Result result, bool stream = false) {
     AttemptResult ended;
     ended.result = result;
@@ -178,5 +197,66 @@
   EXPECT_EQ(attempts.told, kWait - milliseconds(50));
 }
 
+// Guards against a place in a worker's window that is lost for good: the client has left before a second
+// attempt is begun, and the outcome of that one was told under the number of the first.
+TEST_F(EndOfAnRpc, ReturnsTheSecondAttemptOfAClientThatHasLeft) {
+  const auto rpc = take("look");
+  channel->leave = [&] { core.abandoned(rpc); };
+  attempt_ends(rpc, Result::error);
+  pass_a_tick();
+  EXPECT_TRUE(core.outstanding() == Outstanding{});
+}
+
+// Whatever comes in whichever order: with no request left, nothing that was lent is still out.
+RC_GTEST_FIXTURE_PROP(EndOfAnRpc, LeavesNothingOut, ()) {
+  enum class Step { take, end, leave, leave_at_send, list, turn };
+  std::vector<RpcId> rpcs;
+  std::set<RpcId> left;
+  std::size_t ended = 0;
+  const auto end_next = [&](Result result) {
+    if (ended == attempts.started.size()) return;
+    const auto [rpc, attempt] = attempts.started[ended++];
+    AttemptResult outcome;
+    outcome.result = result;
+    core.attempt_ended(rpc, attempt, std::move(outcome));
+  };
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+  for (const auto step : steps) {
+    switch (static_cast<Step>(step)) {
+      case Step::take:
+        rpcs.push_back(begin(*rc::gen::element<std::string>("look", "book")));
+        break;
+      case Step::end:
+        end_next(*rc::gen::element(Result::ok, Result::error, Result::full, Result::reset,
+                                   Result::connect_failed));
+        break;
+      case Step::leave:
+        if (!rpcs.empty()) core.abandoned(rpcs.back());
+        break;
+      case Step::leave_at_send:
+        channel->leave = [&] {
+          if (!rpcs.empty()) core.abandoned(rpcs.back());
+        };
+        break;
+      case Step::list:
+        core.resolved({ListScope::full, {server(*rc::gen::element<std::string>("one", "two"))}});
+        break;
+      case Step::turn:
+        core.turn();
+        break;
+    }
+  }
+  channel->leave = {};
+  for (const auto rpc : rpcs) core.abandoned(rpc);
+  for (int turn = 0; turn < 4; ++turn) {
+    core.turn();
+    while (ended < attempts.started.size()) end_next(Result::cancelled);
+  }
+  pass_a_tick();
+  RC_ASSERT(core.outstanding() == Outstanding{});
+  RC_ASSERT(core.attempts_out() == 0);
+  RC_ASSERT(core.known() == 0U);
+}
+
 }  // namespace
 }  // namespace cranemux::core
