Answer a request that gives way where memory is short, instead of closing on it

What callers saw: a connection that ends with no answer while a long request is written. `make_memory` cut the largest request that is not whole. Change: it gets 503 and the channel ends in order; what it held is free at once.

--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -494,10 +494,14 @@
   place();
   server_.keep_idle_budget();
   if (broken_) return;
+  count_bytes();
+  if (server_.bytes_ > server_.limits_.bytes) server_.make_memory();
+}
+
+void HttpChannel::count_bytes() {
   server_.bytes_ -= counted_;
   counted_ = bytes();
   server_.bytes_ += counted_;
-  if (server_.bytes_ > server_.limits_.bytes) server_.make_memory();
 }
 
 bool HttpChannel::unread() {
@@ -533,6 +537,15 @@
   }
 }
 
+// With an answer: its last byte may have been written, and lie where it cannot be seen.
+void HttpChannel::give_way() {
+  ++server_.counters_.requests_no_memory;
+  fail(503);
+  if (broken_) return;
+  place();
+  count_bytes();
+}
+
 bool HttpChannel::evict() {
   const auto now = state();
   if (now == State::waiting || now == State::writing || now == State::streaming) return false;
@@ -610,8 +623,9 @@
       if (channel->state() != State::reading) continue;
       if (!largest || channel->bytes() > largest->bytes()) largest = channel;
     }
-    if (!largest || !largest->evict()) return;
-    ++counters_.requests_no_memory;
+    if (!largest) return;
+    const auto held = largest->shared_from_this();
+    held->give_way();
   }
 }
 
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -83,6 +83,7 @@
   void break_off();                               // in the middle of an answer, so that the client can tell
   void look_for_end(net::Clock::time_point now);  // of a body that is not read on
   void time_out();  // its limit is over: says so, where the client has begun a request, and closes
+  void give_way();  // a request that is not whole is refused, as memory is short
   bool evict();     // closes it at once, unless something has come on it that is not read yet
 
  private:
@@ -122,6 +123,7 @@
   void written();
   void shut();
   void counted();
+  void count_bytes();
   bool unread();   // something has come that is not read yet
   bool hung_up();  // the client's end has come, also behind bytes that are not read
   void client_left();
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -539,6 +539,29 @@
   EXPECT_EQ(reader.taken.size(), 0U);
 }
 
+// Guards against a request that is closed with no answer where memory runs short: its last byte may have been
+// written, and lie where the gatekeeper cannot see it.
+TEST_F(upload, that_gives_way_to_others_is_answered) {
+  site.limits = "{\"sockets\":384,\"memory_mb\":16}";  // a quarter of it for what channels hold
+  site.start();
+  std::deque<Wire> wires;
+  for (int i = 0; i < 12; ++i) {  // while little is held, each may hold a megabyte
+    wires.emplace_back(site.stage, site.port);
+    wires.back().send(request("m" + std::to_string(i), "Content-Length: 2000000\r\n", false) +
+                      std::string(120'000, 'b'));
+  }
+  site.stage.play(milliseconds(50));
+  for (auto& wire : wires) wire.send(std::string(800'000, 'b'));
+  std::size_t refused = 0;
+  for (auto& wire : wires) {
+    bool open = true;
+    site.stage.play_until([&] { return !(open = wire.read()) || !wire.in.empty(); }, milliseconds(100));
+    EXPECT_TRUE(open || !wire.in.empty()) << "closed with no answer";
+    refused += wire.in.starts_with("HTTP/1.1 503");
+  }
+  EXPECT_GT(refused, 0U);
+}
+
 TEST_F(upload, a_client_that_stops_or_leaves) {
   site.start();
   Wire stops(site.stage, site.port);
