--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -142,7 +142,7 @@
     talk.socket.set_option(net::asio::socket_base::linger(true, 0));
     co_return false;
   }
-  if (const auto slow = paced ? paced(message) : std::nullopt) {
+  if (const auto slow = paced && act.answer == Answer::good ? paced(message) : std::nullopt) {
     const bool taken = co_await write_paced(talk.socket, *slow);
     if (alive.expired()) co_return false;
     if (!taken && rules_) rules_->cut(known);
--- a/testing/node.h
+++ b/testing/node.h
@@ -57,7 +57,7 @@
   // Bytes that are sent instead of an answer, as they are; then the connection ends where `raw_ends`.
   std::function<std::optional<std::string>(const http::Message&)> raw;
   bool raw_ends = false;
-  std::function<std::optional<PacedAnswer>(const http::Message&)> paced;  // none: an answer as ever
+  std::function<std::optional<PacedAnswer>(const http::Message&)> paced;  // of a good answer; none: as ever
   std::size_t connections() const { return connections_; }                // that have come so far
   void close();  // stops listening, and breaks all connections
 
--- a/tests/last_byte_estimate_test.cpp
+++ b/tests/last_byte_estimate_test.cpp
@@ -12,7 +12,7 @@
 
 using std::chrono::milliseconds;
 using Time = LastByteEstimate::Time;
-constexpr std::uint64_t kMega = 1024 * 1024;
+constexpr std::uint64_t kMega = std::uint64_t{1024} * 1024;
 
 TEST(last_byte_estimate, is_none_while_more_is_missing_than_a_client_can_hold) {
   LastByteEstimate estimate;
--- a/tests/soak_run.cpp
+++ b/tests/soak_run.cpp
@@ -334,8 +334,8 @@
   // In chunks or to the end of its connection, of a few lumps with pauses between them.
   testing::PacedAnswer draw_slow_answer() {
     constexpr std::size_t kLumps = 3;
-    constexpr int kMostPause = 1600;                                        // ms, over all
-    constexpr std::size_t kLeast = testing::kHeldWhole, kMore = 64 * 1024;  // bytes in all
+    constexpr int kMostPause = 1600;                                     // ms, over all
+    constexpr std::size_t kLeast = testing::kHeldWhole, kMore = kLeast;  // bytes in all
     const bool chunked = tier_.random() % 2 == 0;
     const auto lumps = 1 + tier_.random() % kLumps;
     const std::string lump((kLeast + tier_.random() % kMore) / lumps + 1, 'a');
