Tests: a slow worker ends its connection by the answer it wrote, not by the next one's

Traced: SlowWorker::serve asked `ends` after its last write, when the test, which had the whole answer, could have set it for the next writing already; the worker then closed the connection that the gatekeeper had kept, and the booking on it was reset. The stand-in keeps what it was told with the answer. The check and its bounds stay.

--- a/testing/slow_worker.cpp
+++ b/testing/slow_worker.cpp
@@ -37,7 +37,7 @@
     const PacedAnswer paced{answer, ends};
     const bool taken = co_await write_paced(*socket, paced);
     if (!taken) ++cut;
-    if (!taken || ends) co_return;
+    if (!taken || paced.ends) co_return;
   }
 }
 
