Tests: the core's stand-in channel says that its client has gone, as it does

Traced: the stand-in told `abandoned` from within `left` and returned false; the interface says true then, upon which the core looks the RPC up anew, as HttpChannel has it. What is checked stays.

--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -52,10 +52,11 @@
   void answer(RpcId, FinalAnswer&& answer) override { answers.push_back(std::move(answer)); }
   nanoseconds waited() const override { return has_waited; }
   bool left() override {
-    if (leave) std::exchange(leave, nullptr)();
-    return false;
+    if (!leave) return false;
+    std::exchange(leave, nullptr)();
+    return true;
   }
-  std::function<void()> leave;  // once, when the core asks before an attempt
+  std::function<void()> leave;  // once, when the core asks before an attempt: tells it that a client has gone
   std::vector<FinalAnswer> answers;
   nanoseconds has_waited{};
 };
