Give sources of work turns of the event loop that are bounded in time

Cause: HttpChannel::run read 16 KB and HttpChannel::process answered all that was in it, some 520 requests with a write each, before anybody else had a turn; a usual request waits for several turns, behind all floods before each. The accept loop took one connection a turn. The loop's delay counted as the workers': Attempts::run measured from start to end.

Change: net::TurnScheduler gives turns by start-time fair queueing to connections, accepting, peers' messages, long answers, subscriptions and discovery; a turn ends after 100 us, and after 400 us of turns the loop takes up timers and workers' answers. Small answers of one turn go in one write; what is read is moved once a turn. The module is asked with 64 events a turn, not 512. net::LoopDelay sees how late the loop runs by the pools' timers; that time is no worker's. Both are on the counters (loop_late, loop_delay_ms, loop_delay_max_ms, turns_long, turn_max_ms), and a delay of 50 ms is logged once a minute.

--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -12,6 +12,7 @@
 #include "attempt/begun_answer.h"
 #include "attempt/trailing_bytes.h"
 #include "http/chunk.h"
+#include "net/loop_delay.h"
 
 namespace cranemux::attempt {
 namespace {
@@ -130,7 +131,7 @@
   call->rpc = rpc;
   call->attempt = attempt;
   call->payload = payload;
-  call->started = Clock::now();
+  begin_measure(*call);
   call->give_up = call->started + limits.patience;
   call->whole_by = limits.whole_by;
   call->told = limits.told;
@@ -239,11 +240,22 @@
       }
     }
   }
-  result.took = Clock::now() - call->started;
+  result.took = taken_by_worker(*call);
   calls_.erase({call->rpc, call->attempt});
   core_.attempt_ended(call->rpc, call->attempt, std::move(result));
 }
 
+void Attempts::begin_measure(Call& call) const {
+  call.started = Clock::now();
+  call.delay_before = net::LoopDelay::of(io_).total(call.started);
+}
+
+std::chrono::nanoseconds Attempts::taken_by_worker(const Call& call) const {
+  const auto now = Clock::now();
+  const auto delay = net::LoopDelay::of(io_).total(now) - call.delay_before;
+  return std::max(std::chrono::nanoseconds{}, now - call.started - delay);
+}
+
 // tools/count-attempts adds these up over a fleet.
 void Attempts::log_end(const Call& call, Result result, bool kept) const {
   static constexpr std::array kNames{"ok",    "error",     "full", "timeout", "connect_failed",
@@ -356,7 +368,7 @@
   bool whole_sent = count == message.size();
   if (const auto body = payload.body()) {
     whole_sent = whole_sent && co_await send_body(call, *body);
-    call.started = Clock::now();  // what a worker is measured by begins with the last byte
+    begin_measure(call);  // what a worker is measured by begins with the last byte
   }
   call.written = whole_sent;
   if (call.written) core_.attempt_written(call.rpc);
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -119,7 +119,8 @@
     net::asio::steady_timer timer,
         more;  // its limit; more of its body has come, or of its answer is waited for
     net::Clock::time_point started, give_up, whole_by, deadline;
-    std::chrono::nanoseconds told{};  // of its time, at most, to the worker
+    std::chrono::nanoseconds told{};          // of its time, at most, to the worker
+    std::chrono::nanoseconds delay_before{};  // of the loop, in all, when it started
     std::shared_ptr<const core::Payload> payload;
     Stop stop = Stop::none;
     std::optional<BodyProgress> body;
@@ -144,6 +145,9 @@
   // The result of an answer that has been read, or is given up; `more_may_wait`: bytes that are not read yet.
   core::AttemptResult conclude(Call& call, const http::Verdict& verdict, const http::Message& answer,
                                bool more_may_wait);
+  // How long its worker has taken: less the time in which the loop was late and could not see its answer.
+  std::chrono::nanoseconds taken_by_worker(const Call& call) const;
+  void begin_measure(Call& call) const;
   void limit(Call& call, net::Clock::time_point at);
   void end_read(Call& call, net::Clock::time_point at);  // without an end of the call
   bool pass_on(Call& call);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds kGuard{4};  // before the deadline, when the module has not answered
 constexpr std::chrono::hours kUploading{1};     // its channel ends one that does not come on
 constexpr std::size_t kMostCustomers = 1024;    // that the console's table keeps
-constexpr std::size_t kMostEvents = 512;        // taken up in one turn: other pools' turns come between
+constexpr std::size_t kMostEvents = 64;         // taken up in one turn: other work comes between
 
 template <class... Ts>
 struct Overloaded : Ts... {
--- a/src/front/body_relay.cpp
+++ b/src/front/body_relay.cpp
@@ -91,6 +91,7 @@
       });
   const auto error = co_await net::read_some(up_->socket, up_->buffer, kPiece);
   silence_.cancel();
+  co_await net::TurnScheduler::of(up_->socket.get_executor()).turn(work_);
   ended_ = error == net::asio::error::eof;
   co_return !error || ended_;
 }
--- a/src/front/body_relay.h
+++ b/src/front/body_relay.h
@@ -33,6 +33,7 @@
   metrics::Counters& counters_;
   http::BodyReader reader_;
   std::shared_ptr<HttpChannel> channel_;
+  net::WorkSource work_;
   net::asio::steady_timer room_, silence_;
   bool ended_ = false;  // the worker gives no more
 };
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kAcceptPause{20};  // where there is no room at all, or descriptors have run out
+constexpr int kAcceptWeight = 8;          // usual clients that connect anew wait behind those that flood
 constexpr milliseconds kSweep{100};
 // A request whose last byte may have been written is answered so long before its time is over: looks are a
 // sweep apart.
@@ -22,8 +23,9 @@
 constexpr milliseconds kLook{50};       // a request waits no longer than this before its client is looked for
 constexpr milliseconds kLeaving{1000};  // the rest of a flood after the last answer
 constexpr std::size_t kHeld = 1024 * 1024, kHeldPressed = 64 * 1024;  // of a body that is on its way
-constexpr std::size_t kMostAhead = 16'384;                            // sent on while it waits for an answer
-constexpr std::size_t kMostDiscarded = 1024 * 1024;                   // of what comes after the last answer
+constexpr std::size_t kMostGathered = 16 * 1024;     // of small answers, before they are written
+constexpr std::size_t kMostAhead = 16'384;           // sent on while it waits for an answer
+constexpr std::size_t kMostDiscarded = 1024 * 1024;  // of what comes after the last answer
 
 }  // namespace
 
@@ -40,19 +42,21 @@
 HttpChannel::State HttpChannel::state() const {
   if (stream_ && !stream_ends_) return State::streaming;
   if (uploading()) return paused_ ? State::waiting : State::reading;
-  if (waits_) return State::waiting;
+  if (waits_ || process_queued_) return State::waiting;
   if (writing_) return State::writing;
   if (last_) return State::leaving;
   if (!in_.empty()) return State::reading;
   return spoke_ ? State::idle : State::silent;
 }
 
-// Input is read when there is some, into a buffer that all channels share, so idle ones hold none.
+// Input is read when there is some, in a turn of the channel's, into a buffer that all channels share, so
+// idle ones hold none.
 net::awaitable<void> HttpChannel::run() {
   const auto self = shared_from_this();
   while (!broken_) {
     if (const auto [error] = co_await socket_.async_wait(net::tcp::socket::wait_read, net::kResult); error)
       break;
+    co_await server_.turns_.turn(work_);
     boost::system::error_code error;
     auto& piece = server_.piece_;
     const auto count = broken_ ? 0 : socket_.read_some(net::asio::buffer(piece), error);
@@ -70,7 +74,7 @@
     if (upload_) upload_->read += count;
     uploading() ? feed() : process();
     counted();
-    if (uploading() ? upload_->pipe->full() : engaged() && in_.size() > kMostAhead) {
+    if (must_pause()) {
       paused_ = true;
       if (upload_) upload_->paused = net::Clock::now();
       co_return;
@@ -79,6 +83,12 @@
   client_left();
 }
 
+// Enough is held, or waits to be processed.
+bool HttpChannel::must_pause() const {
+  if (process_queued_) return true;
+  return uploading() ? upload_->pipe->full() : engaged() && in_.size() > kMostAhead;
+}
+
 void HttpChannel::client_left() {
   if (waits_ && rpc_ != 0 && !broken_) server_.front_.abandoned(rpc_, context_);
   broken_ = true;
@@ -99,46 +109,89 @@
 }
 
 void HttpChannel::resume() {
-  if (broken_ || (uploading() ? upload_->pipe->full() : engaged()) || !std::exchange(paused_, false)) return;
+  if (broken_ || process_queued_ || (uploading() ? upload_->pipe->full() : engaged())) return;
+  if (!std::exchange(paused_, false)) return;
   if (uploading()) since_ += net::Clock::now() - upload_->paused;  // it was not the client that waited
   net::spawn(socket_.get_executor(), server_.logger_, "channel", run());
 }
 
 void HttpChannel::process() {
-  if (processing_) return;
+  if (processing_ || process_queued_) return;
   processing_ = true;
-  while (!engaged() && !last_ && !broken_ && !in_.empty() && in_.size() >= need_) {
-    http::Message message;
-    auto verdict = http::parse(in_, http::Kind::request, message);
-    need_ = verdict.need;
-    const bool too_long = verdict.state == http::State::bad && verdict.status == 413;
-    if (verdict.state == http::State::partial || too_long) go_on(message);
-    if ((too_long || in_.size() > http::kMostBuffer) && begin_upload(message)) break;
-    if (verdict.state == http::State::partial) {
-      if (in_.size() <= http::kMostBuffer) break;
-      verdict = {http::State::bad, 413, 0};
-    }
-    if (verdict.state == http::State::bad) {
-      fail(verdict.status);
+  std::size_t at = 0;
+  while (can_process(at)) {
+    if (server_.turns_.over()) {
+      process_soon();
       break;
     }
-    begin(message);
-    body_ = message.body.size();
-    Handled handled;
-    if (is_health(message.target)) {
-      handled.reply = health(message.target);
-    } else if (body_ > 0 && server_.bytes_ > server_.limits_.bytes) {
-      ++server_.counters_.requests_no_memory;
-      handled.reply = server_.front_.malformed(503);
-    } else {
-      handled = server_.front_.request({message, shared_from_this()});
-    }
-    in_.erase(0, message.size);
-    if (in_.empty() || last_) std::string().swap(in_);
-    need_ = 0;
-    took(std::move(handled));
+    if (!process_next(at)) break;
   }
+  drop_processed(at);
   processing_ = false;
+  send_replies();
+}
+
+bool HttpChannel::can_process(std::size_t at) const {
+  return !engaged() && !last_ && !broken_ && in_.size() > at && in_.size() - at >= need_;
+}
+
+bool HttpChannel::process_next(std::size_t& at) {
+  const auto rest = std::string_view(in_).substr(at);
+  http::Message message;
+  auto verdict = http::parse(rest, http::Kind::request, message);
+  need_ = verdict.need;
+  const bool too_long = verdict.state == http::State::bad && verdict.status == 413;
+  if (verdict.state == http::State::partial || too_long) go_on(message);
+  if (broken_) return false;
+  if (too_long || rest.size() > http::kMostBuffer) {
+    if (at > 0) {
+      drop_processed(std::exchange(at, 0));
+      http::parse_head(in_, http::Kind::request, message);
+    }
+    if (begin_upload(message)) return false;
+  }
+  if (verdict.state == http::State::partial) {
+    if (in_.size() - at <= http::kMostBuffer) return false;
+    verdict = {http::State::bad, 413, 0};
+  }
+  if (verdict.state == http::State::bad) {
+    at = 0;
+    fail(verdict.status);
+    return false;
+  }
+  begin(message);
+  body_ = message.body.size();
+  Handled handled;
+  if (is_health(message.target)) {
+    handled.reply = health(message.target);
+  } else if (body_ > 0 && server_.bytes_ > server_.limits_.bytes) {
+    ++server_.counters_.requests_no_memory;
+    handled.reply = server_.front_.malformed(503);
+  } else {
+    handled = server_.front_.request({message, shared_from_this()});
+  }
+  at += message.size;
+  need_ = 0;
+  took(std::move(handled));
+  return true;
+}
+
+void HttpChannel::drop_processed(std::size_t at) {
+  in_.erase(0, std::min(at, in_.size()));
+  if (in_.empty() || (last_ && !uploading())) std::string().swap(in_);
+}
+
+void HttpChannel::process_soon() {
+  if (broken_ || in_.empty() || std::exchange(process_queued_, true)) return;
+  net::spawn(socket_.get_executor(), server_.logger_, "channel", process_later(shared_from_this()));
+}
+
+net::awaitable<void> HttpChannel::process_later(std::shared_ptr<HttpChannel>) {
+  co_await server_.turns_.turn(work_);
+  process_queued_ = false;
+  process();
+  counted();
+  resume();
 }
 
 void HttpChannel::begin(const http::Message& message) {
@@ -329,7 +382,7 @@
   const auto context = std::move(context_);
   if (broken_) return;
   reply(server_.front_.answer(std::move(answer), context));
-  process();
+  process_soon();
   counted();
   resume();
 }
@@ -338,32 +391,37 @@
   if (server_.lifecycle_.last_answer(net::Clock::now())) last_ = true;
   if (uploading()) last_ = true;  // an answer before the end of its request: no more is read
   end_upload();
-  out_ = "HTTP/1.1 " + std::to_string(reply.status) + ' ';
-  out_ += http::reason(reply.status);
-  out_ += "\r\nContent-Type: ";
-  out_ += reply.type;
-  out_ += "\r\n";
+  auto& out = writing_ ? next_ : out_;
+  out += "HTTP/1.1 " + std::to_string(reply.status) + ' ';
+  out += http::reason(reply.status);
+  out += "\r\nContent-Type: ";
+  out += reply.type;
+  out += "\r\n";
   chunks_ = false;
   if (reply.stream) {
     const auto length = reply.stream->length();
     chunks_ = reply.stream->bounded() && !length && !old_;
-    if (length) out_ += "Content-Length: " + std::to_string(*length) + "\r\n";
-    if (chunks_) out_ += "Transfer-Encoding: chunked\r\n";
+    if (length) out += "Content-Length: " + std::to_string(*length) + "\r\n";
+    if (chunks_) out += "Transfer-Encoding: chunked\r\n";
     if (!length && !chunks_) last_ = true;  // its end is the channel's
     stream_ = reply.stream;
     stream_ends_ = false;
   } else {
-    out_ += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
+    out += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
   }
-  out_ += reply.fields;
-  if (last_) out_ += "Connection: close\r\n";
-  out_ += "\r\n";
-  out_ += reply.body;
-  sent_ = 0;
-  write();
+  out += reply.fields;
+  if (last_) out += "Connection: close\r\n";
+  out += "\r\n";
+  out += reply.body;
+  const bool more_may_follow = processing_ && !reply.stream && !last_;
+  if (!more_may_follow || out_.size() >= kMostGathered) send_replies();
   if (reply.stream) broken_ ? reply.stream->closed() : reply.stream->begin(shared_from_this());
 }
 
+void HttpChannel::send_replies() {
+  if (!out_.empty() && !writing_ && !broken_) write();
+}
+
 bool HttpChannel::send(std::string_view part) {
   if (broken_ || !stream_ || stream_ends_) return false;
   if (writing_) {
@@ -381,7 +439,7 @@
   stream_ends_ = true;
   if (writing_ || broken_) return;
   written();
-  process();
+  process_soon();
   counted();
   resume();
 }
@@ -425,7 +483,7 @@
   }
   writing_ = false;
   written();
-  process();
+  process_soon();
   counted();
   resume();
 }
@@ -438,7 +496,7 @@
   if (stream_ && !stream_ends_) return;
   stream_.reset();
   stream_ends_ = false;
-  if (last_) shut();
+  if (last_ && !waits_) shut();
 }
 
 // Ends the sending; the client's end, or the time limit, ends the reading.
@@ -560,6 +618,8 @@
                              Front& front, const lifecycle::Lifecycle& lifecycle, metrics::Logger& logger,
                              metrics::Counters& counters)
     : io_(io),
+      turns_(net::TurnScheduler::of(io)),
+      accepting_(kAcceptWeight),
       acceptor_(io),
       pause_(io),
       sweeper_(io),
@@ -578,6 +638,7 @@
   acceptor_.set_option(net::tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen(1024);
+  acceptor_.non_blocking(true);
 }
 
 // Others hold the same socket: it is never shut down, only closed here.
@@ -661,26 +722,42 @@
 
 net::awaitable<void> ChannelServer::accept() {
   while (acceptor_.is_open()) {
-    full_ = channels_.size() >= most() && !make_room();
-    if (paused_ || full_) {  // all of them wait for an answer
-      pause_.expires_after(kAcceptPause);
-      co_await pause_.async_wait(net::kResult);
+    if (paused_ || full()) {
+      co_await pause_accepting();
       continue;
     }
-    auto [error, socket] = co_await acceptor_.async_accept(net::kResult);
-    if (error == net::asio::error::operation_aborted && paused_) continue;
-    if (error == net::asio::error::operation_aborted) co_return;
+    const auto [error] = co_await acceptor_.async_wait(net::tcp::acceptor::wait_read, net::kResult);
+    if (error && paused_) continue;
+    if (error) co_return;
+    co_await turns_.turn(accepting_);
+    if (acceptor_.is_open() && !paused_ && !accept_some()) co_await pause_accepting();
+  }
+}
+
+// All channels wait for an answer.
+bool ChannelServer::full() { return full_ = channels_.size() >= most() && !make_room(); }
+
+net::awaitable<void> ChannelServer::pause_accepting() {
+  pause_.expires_after(kAcceptPause);
+  co_await pause_.async_wait(net::kResult);
+}
+
+bool ChannelServer::accept_some() {
+  do {
+    if (full()) return true;  // `accept` looks, too
+    boost::system::error_code error;
+    auto socket = acceptor_.accept(error);
+    if (error == net::asio::error::would_block) return true;
     if (error) {  // as when descriptors run out: it goes on, but does not spin
       ++counters_.accept_failures;
       make_room();
-      pause_.expires_after(kAcceptPause);
-      co_await pause_.async_wait(net::kResult);
-      continue;
+      return false;
     }
     ++counters_.channels_opened;
     auto channel = std::make_shared<HttpChannel>(std::move(socket), *this);
     net::spawn(io_, logger_, "channel", channel->run());
-  }
+  } while (!turns_.over());
+  return true;
 }
 
 void ChannelServer::drain() {
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -20,6 +20,7 @@
 #include "http/http.h"
 #include "lifecycle/lifecycle.h"
 #include "net/net.h"
+#include "net/turn_scheduler.h"
 
 namespace cranemux::front {
 
@@ -63,10 +64,11 @@
   bool send(std::string_view part);
   std::size_t unsent() const { return out_.size() - sent_ + next_.size(); }
   net::Clock::time_point took_last() const { return since_; }  // the client has taken something
-  void end_stream();                                           // once all is sent
-  bool chunks() const { return chunks_; }                      // the stream's parts go as chunks
-  bool pressed() const;                                        // all channels together hold much
-  void drain();  // a stream ends in order, an idle channel at once
+  net::WorkSource& work() { return work_; }
+  void end_stream();                       // once all is sent
+  bool chunks() const { return chunks_; }  // the stream's parts go as chunks
+  bool pressed() const;                    // all channels together hold much
+  void drain();                            // a stream ends in order, an idle channel at once
 
   using State = ChannelState;
   State state() const;
@@ -88,7 +90,15 @@
 
  private:
   bool engaged() const { return waits_ || writing_ || stream_; }  // with a request, up to its answer's end
+  // Answers what has come, request by request, until the turn is over.
   void process();
+  bool process_next(
+      std::size_t& at);  // the request at `at` of `in_`; false: none is whole, or may be taken up yet
+  bool can_process(std::size_t at) const;
+  void process_soon();  // in a turn of its own
+  net::awaitable<void> process_later(std::shared_ptr<HttpChannel> self);
+  void drop_processed(std::size_t at);
+  bool must_pause() const;
   void go_on(const http::Message& message);
   void begin(const http::Message& message);
   void took(Handled&& handled);
@@ -118,6 +128,7 @@
   void end_upload();
   void fail(int status);  // of a request that is not whole
   void reply(const Reply& reply);
+  void send_replies();  // those that wait in `out_` for one write
   void write();
   net::awaitable<void> write_rest(std::shared_ptr<HttpChannel> self);
   void written();
@@ -132,6 +143,7 @@
 
   net::tcp::socket socket_;
   ChannelServer& server_;
+  net::WorkSource work_;
   std::string in_, out_;
   std::size_t need_ = 0, sent_ = 0, discarded_ = 0;
   std::size_t body_ = 0;     // of the RPC in flight
@@ -142,7 +154,8 @@
   std::shared_ptr<void> context_;  // the front's own, for the answer
   net::Clock::time_point since_ = net::Clock::now();
   bool waits_ = false, writing_ = false, last_ = false, broken_ = false, processing_ = false, left_ = false;
-  bool spoke_ = false;  // has had an answer
+  bool process_queued_ = false;  // waits for a turn in which to process what has come
+  bool spoke_ = false;           // has had an answer
   std::unique_ptr<Upload> upload_;
   std::shared_ptr<StreamSource> stream_;
   std::string next_;  // of a stream, behind `out_`
@@ -219,6 +232,9 @@
   friend class HttpChannel;
   void inherit(int fd);
   net::awaitable<void> accept();
+  bool accept_some();  // what has come, until the turn is over; false: there is no room for more
+  bool full();
+  net::awaitable<void> pause_accepting();
   net::awaitable<void> sweep();
   bool make_room();
   std::size_t most() const { return limits_.channels - std::min(lent_, limits_.channels * 3 / 4); }
@@ -228,6 +244,8 @@
   std::vector<HttpChannel*> channels() const { return {channels_.begin(), channels_.end()}; }
 
   net::asio::io_context& io_;
+  net::TurnScheduler& turns_;
+  net::WorkSource accepting_;
   net::tcp::acceptor acceptor_;
   net::asio::steady_timer pause_, sweeper_;
   const ChannelLimits limits_;
--- a/src/front/graphql/subscription.cpp
+++ b/src/front/graphql/subscription.cpp
@@ -105,6 +105,8 @@
     const auto error = co_await net::read_some(up_->socket, up_->buffer, kPiece);
     if (error || over_) co_return false;
   }
+  co_await net::TurnScheduler::of(up_->socket.get_executor()).turn(work_);
+  if (over_) co_return false;
   std::string bytes;
   bool last = false;
   if (!up_->chunked) {
--- a/src/front/graphql/subscription.h
+++ b/src/front/graphql/subscription.h
@@ -47,6 +47,7 @@
   metrics::Counters& counters_;
   std::shared_ptr<HttpChannel> channel_;
   graphql::EventReader reader_;
+  net::WorkSource work_;
   net::asio::steady_timer counted_, tick_;
   net::Clock::time_point sent_ = net::Clock::now();
   std::optional<core::Ending> ending_;  // of the event that is being counted
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "lifecycle/planned_end.h"
+#include "net/loop_delay.h"
+#include "net/turn_scheduler.h"
 
 namespace cranemux {
 namespace {
@@ -128,6 +130,7 @@
 
 // RPCs that are left hold what belongs to the pools that hold them.
 Gatekeeper::~Gatekeeper() {
+  net::LoopDelay::of(io_).on_high = {};
   for (auto& [name, member] : pools_) member.pool->core().forget_all();
   for (auto& member : leaving_) member.pool->core().forget_all();
 }
@@ -164,7 +167,16 @@
   }
 }
 
+void Gatekeeper::watch_loop() {
+  net::LoopDelay::of(io_).on_high = [this](net::LoopDelay::Span delay) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
+    logger_.log(metrics::Level::warning, "the event loop runs ", ms,
+                " ms late: it has too little of a core, or a turn took long (turn_max_ms); see loop_late");
+  };
+}
+
 void Gatekeeper::start() {
+  watch_loop();
   open_handover();
   for (auto& [name, member] : pools_) {
     member.pool->start(member.pool->config().discovery.has_value() && !own_servers_);
@@ -187,9 +199,24 @@
   }
   for (const auto& member : leaving_) sum += *member.counters;
   sum.log_lines_dropped = logger_.dropped();
+  count_loop(sum);
   return sum;
 }
 
+void Gatekeeper::count_loop(metrics::Counters& sum) const {
+  const auto ms = [](std::chrono::nanoseconds span) {
+    return static_cast<metrics::Counters::Count>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+  };
+  const auto& delay = net::LoopDelay::of(io_);
+  const auto& turns = net::TurnScheduler::of(io_);
+  sum.loop_late = delay.late();
+  sum.loop_delay_ms = ms(delay.last());
+  sum.loop_delay_max_ms = ms(delay.longest());
+  sum.turns_long = turns.long_turns();
+  sum.turn_max_ms = ms(turns.longest_turn());
+}
+
 metrics::Figures Gatekeeper::figure() const {
   metrics::Figures figures;
   figures.lanes = counters().lanes;
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -49,6 +49,11 @@
 
   Count handovers = 0, handovers_refused = 0, handover_dropped = 0, takeovers = 0;
 
+  // Of the event loop. Timers that were taken up late, and how late at the most and the last time; turns of
+  // work that took long, and the longest.
+  Count loop_late = 0, loop_delay_ms = 0, loop_delay_max_ms = 0;
+  Count turns_long = 0, turn_max_ms = 0;
+
   template <typename Visit>
   void each(Visit visit) const {
     each_of(*this, visit);
@@ -143,6 +148,11 @@
     visit("handovers_refused", self.handovers_refused);
     visit("handover_dropped", self.handover_dropped);
     visit("takeovers", self.takeovers);
+    visit("loop_late", self.loop_late);
+    visit("loop_delay_ms", self.loop_delay_ms);
+    visit("loop_delay_max_ms", self.loop_delay_max_ms);
+    visit("turns_long", self.turns_long);
+    visit("turn_max_ms", self.turn_max_ms);
   }
 };
 
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -132,13 +132,26 @@
 }
 
 net::awaitable<void> PeerLink::receive() {
-  std::array<char, kReceiveBufferBytes> bytes{};
   if (std::exchange(receiving_, true)) co_return;
+  auto& turns = net::TurnScheduler::of(socket_.get_executor());
   while (socket_.is_open() && !muted_) {
-    net::udp::endpoint from;
-    const auto [error, count] =
-        co_await socket_.async_receive_from(net::asio::buffer(bytes), from, net::kResult);
+    const auto [error] = co_await socket_.async_wait(net::udp::socket::wait_read, net::kResult);
     if (error == net::asio::error::operation_aborted) break;
+    co_await turns.turn(work_);
+    receive_some(turns);
+  }
+  receiving_ = false;
+  if (!muted_ && socket_.is_open()) set_muted(false);  // unmuted before this coroutine saw that it was muted
+}
+
+// What has come, until the turn is over.
+void PeerLink::receive_some(const net::TurnScheduler& turns) {
+  std::array<char, kReceiveBufferBytes> bytes{};
+  while (socket_.is_open() && !muted_ && !turns.over()) {
+    net::udp::endpoint from;
+    boost::system::error_code error;
+    const auto count = socket_.receive_from(net::asio::buffer(bytes), from, 0, error);
+    if (error == net::asio::error::would_block) return;
     if (error) continue;  // for example, an ICMP error for an earlier datagram
     const auto peer = std::find(peers_.begin(), peers_.end(), from);
     if (peer == peers_.end() || count > kMaxDatagramBytes) {
@@ -147,8 +160,6 @@
     }
     handle_datagram(static_cast<int>(peer - peers_.begin()), {bytes.data(), count});
   }
-  receiving_ = false;
-  if (!muted_ && socket_.is_open()) set_muted(false);  // unmuted before this coroutine saw that it was muted
 }
 
 }  // namespace cranemux::peers
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -10,6 +10,7 @@
 #include "config/config.h"
 #include "core/core.h"
 #include "net/net.h"
+#include "net/turn_scheduler.h"
 #include "peers/datagram_batcher.h"
 
 namespace cranemux::peers {
@@ -53,6 +54,7 @@
  private:
   friend class LedgerEndpoint;
   net::awaitable<void> receive();
+  void receive_some(const net::TurnScheduler& turns);
   net::awaitable<void> bind();
   void handle_datagram(int from, std::string_view bytes);
   void send(const LedgerEndpoint& endpoint, int to, const std::string& bytes);
@@ -61,6 +63,7 @@
   LedgerEndpoint* endpoint_of(Tag tag);
 
   net::udp::socket socket_;
+  net::WorkSource work_{4};  // quotas wait for these messages
   net::asio::steady_timer timer_;
   metrics::Logger& logger_;
   metrics::Counters& counters_;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -34,7 +34,8 @@
             list_changed(nodes_.told(result, scope != cranemux::ListScope::changes), scope);
           },
           resolver::call_pacing_for(config.settings), logger, counters),
-      turn_timer_(io) {
+      turn_timer_(io),
+      delay_(net::LoopDelay::of(io)) {
   core_.connect(attempts_, *line_, *this);
 }
 
@@ -94,19 +95,26 @@
     resolver_.stop();
     attempts_.stop();
     turn_timer_.cancel();
+    delay_.expect(net::Clock::time_point::max());
   }
   return attempts_.idle() && resolver_.idle();
 }
 
 void Pool::turn_soon() {
   net::asio::post(io_, [this, alive = std::weak_ptr<char>(alive_)] {
-    if (!alive.expired()) core_.turn();
+    if (!alive.expired()) turn();
   });
 }
 
+void Pool::turn() {
+  delay_.taken_up(net::Clock::now());
+  core_.turn();
+}
+
 void Pool::turn_at(net::Clock::time_point at) {
   if (at == turn_timer_at_) return;
   turn_timer_at_ = at;
+  delay_.expect(at);
   if (at == net::Clock::time_point::max()) {
     turn_timer_.cancel();
     return;
@@ -115,7 +123,7 @@
   turn_timer_.async_wait([this, alive = std::weak_ptr<char>(alive_)](const boost::system::error_code& error) {
     if (error || alive.expired() || turn_timer_.expiry() > net::Clock::now()) return;
     turn_timer_at_ = net::Clock::time_point::max();
-    core_.turn();
+    turn();
   });
 }
 
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -9,6 +9,7 @@
 #include "attempt/attempts.h"
 #include "config/services.h"
 #include "core/core.h"
+#include "net/loop_delay.h"
 #include "net/net.h"
 #include "peers/peers.h"
 #include "pool/admission.h"
@@ -62,6 +63,7 @@
   void turn_soon() override;
   void turn_at(net::Clock::time_point at) override;
   void list_changed(const config::ResolverResult& result, cranemux::ListScope scope);
+  void turn();
 
   net::asio::io_context& io_;
   config::PoolConfig config_;
@@ -75,6 +77,7 @@
   resolver::Resolver resolver_;
   net::asio::steady_timer turn_timer_;
   net::Clock::time_point turn_timer_at_ = net::Clock::time_point::max();
+  net::DelayProbe delay_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();  // for handlers that may come after the pool
   bool watches_ = false, leaving_ = false, stopped_ = false;
 };
--- a/src/resolver/resolver.cpp
+++ b/src/resolver/resolver.cpp
@@ -156,7 +156,8 @@
         filter_.damaged();
         co_return;
       }
-      if (!take_result(objects.object())) co_return;
+      co_await net::TurnScheduler::of(socket_.get_executor()).turn(work_);
+      if (stopped_ || moved_ || !take_result(objects.object())) co_return;
     }
   }
 }
--- a/src/resolver/resolver.h
+++ b/src/resolver/resolver.h
@@ -8,6 +8,7 @@
 #include "cranemux/decision_module.h"
 #include "metrics/counters.h"
 #include "net/net.h"
+#include "net/turn_scheduler.h"
 #include "resolver/call_pacing.h"
 #include "resolver/object_reader.h"
 #include "resolver/result_filter.h"
@@ -41,6 +42,7 @@
 
   net::Scope scope_;
   net::tcp::socket socket_;
+  net::WorkSource work_;
   net::asio::steady_timer timer_;
   config::Address discovery_;
   Listener listener_;
--- a/testing/flooding_clients.cpp
+++ b/testing/flooding_clients.cpp
@@ -68,10 +68,15 @@
   connection.fd = -1;
 }
 
+bool FloodingClients::may_send(const Connection& connection) const {
+  if (kind_.reconnects) return connection.sent == 0;
+  const auto unanswered = connection.sent - std::min(connection.sent, connection.answered);
+  return kind_.most_unanswered == 0 || unanswered + kind_.batch <= kind_.most_unanswered;
+}
+
 void FloodingClients::write(Connection& connection) {
   connection.connecting = false;
-  const bool one_is_out = kind_.reconnects && connection.sent > 0;
-  if (connection.out.empty() && !finishing_ && !one_is_out) {
+  if (connection.out.empty() && !finishing_ && may_send(connection)) {
     const auto count = kind_.reconnects ? 1 : kind_.batch;
     const auto first = sent_.fetch_add(count);
     for (std::size_t i = 0; i < count; ++i) connection.out += kind_.make(first + i);
@@ -112,7 +117,7 @@
     const bool answered = connection.out.empty() && connection.answered >= connection.sent;
     finished = finished && (connection.fd < 0 || answered);
     const bool writes = !finishing_ || !connection.out.empty();
-    const bool awaits_answer = kind_.reconnects && connection.sent > 0 && connection.out.empty();
+    const bool awaits_answer = connection.out.empty() && !may_send(connection);
     pollfd look{connection.fd, 0, 0};
     if (writes && !awaits_answer) look.events |= POLLOUT;
     if (kind_.reads || finishing_) look.events |= POLLIN;
--- a/testing/flooding_clients.h
+++ b/testing/flooding_clients.h
@@ -16,11 +16,12 @@
 struct FloodKind {
   // The bytes of the n-th request, counted over all connections.
   std::function<std::string(std::size_t number)> make;
-  std::size_t batch = 500;    // requests that are written at once
-  std::size_t piece = 0;      // bytes of a write at most; 0: as many as are taken
-  bool reads = true;          // takes its answers
-  bool reconnects = false;    // a connection for each request, closed with its answer
-  bool answered_each = true;  // each request has an answer of its own, and the connection goes on
+  std::size_t batch = 500;          // requests that are written at once
+  std::size_t most_unanswered = 0;  // requests on a connection, before it sends more; 0: as many as are taken
+  std::size_t piece = 0;            // bytes of a write at most; 0: as many as are taken
+  bool reads = true;                // takes its answers
+  bool reconnects = false;          // a connection for each request, closed with its answer
+  bool answered_each = true;        // each request has an answer of its own, and the connection goes on
 };
 
 class FloodingClients {
@@ -51,6 +52,7 @@
   bool turn(Connections& connections);  // false: all was answered, and no more is sent
   void open(Connection& connection) const;
   void close(Connection& connection) const;
+  bool may_send(const Connection& connection) const;
   void write(Connection& connection);
   void read(Connection& connection);
 
--- a/tests/fairness_test.cpp
+++ b/tests/fairness_test.cpp
@@ -30,6 +30,8 @@
 }
 FloodKind requests(const std::string& plan, milliseconds deadline, const std::string& klass = "job-status") {
   FloodKind kind;
+  kind.batch = 5;
+  kind.most_unanswered = 20;
   kind.make = [=](std::size_t i) {
     return platform_request("f" + std::to_string(i), customer_name(i), plan, deadline, klass);
   };
