Bound the accounts of customers that come under ever new names

Memory grew by 9.4 MB in 5 s while sixty connections sent requests that were served or held, each under a new name.

Cause: an account was kept for 60 s at least (300 s up to 16,384 of them) after its bucket was full again, as a new one's totals would not fit its leader's claim; nothing bounded their number (DecisionModule::erase_idle).

Change: from 2,048 accounts on an idle one goes after a second, if its bucket is full; one pass over all takes a second. A new account begins with a leader epoch above those of all that were erased, so a claim that still stands counts as one of before a change of leader, and nothing is given back for it. Past 16,384 accounts requests of further customers are refused. Guarded quotas keep their times (their claims are told apart by request numbers) and have the bound. Ledgers go by the same times.

Of the tests, the one of the leader's claim gets the same 49 units with and without the epoch, so the epoch is read, not shown.

--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -84,8 +84,11 @@
 
 // Idle state.
 constexpr Nanos kForgetAfterIfFew = 300 * kSecond;  // idle accounts and ledgers are erased after this ...
-constexpr Nanos kForgetAfter = 60 * kSecond;  // ... or this, from kManyAccounts on; removed servers, too
-constexpr std::size_t kManyAccounts = 16384;
+constexpr Nanos kForgetAfterIfMany = 1 * kSecond;   // ... or this, from kManyAccounts on
+constexpr std::size_t kManyAccounts = 2048;
+constexpr Nanos kForgetAfter = 60 * kSecond;  // the same of guarded quotas, and removed servers
+constexpr std::size_t kManyGuardedAccounts = 16384;
+constexpr std::size_t kMostAccounts = 16384;  // requests of further customers are refused
 
 // ---- records ------------------------------------------------------------------------------------
 
@@ -232,6 +235,7 @@
           ledger::shard_count(account.plan->rate, account.plan->burst, settings_.most_units,
                               ledger::kMessageShare * settings_.peer_messages_per_s, account.spread);
     account.shard = settings_.index % account.shards;
+    if (!before) account.leader_epoch = quota_state_->erased_epoch;
     if (before) return ledger::change_plan(account);
     account.refilled_at = started_at_;
     if (settings_.guarded) return;
@@ -386,6 +390,7 @@
     // Past its aim a request may earn nothing: the lease is left to those that can.
     const bool too_late = now_ >= at->second.aim_end && !late_answer_pays(at->second);
     at->second.admitted = request.budget <= kAnswerMargin || too_late;  // never held
+    at->second.admitted |= accounts_.size() >= kMostAccounts && !accounts_.contains(at->second.account);
     if (at->second.admitted) return finish(at->second);  // no account: such requests come at any rate
     pool::count_try(budgets_[at->second.klass->name], request.budget / kMs);
     auto& account = accounts_[at->second.account];
@@ -1124,12 +1129,12 @@
     next_tick_ = now_;
   }
 
-  // Erases idle state. An account goes once its bucket is full again and its leaders have dropped their
-  // claims, whose totals would not fit those of a new account. A ledger goes once it is full.
+  // Erases idle state. An account goes once its bucket is full again; its totals are told from those of a
+  // later one by the leader epoch. A ledger goes once it is full.
   void erase_idle() {
-    const auto after = accounts_.size() < kManyAccounts ? kForgetAfterIfFew : kForgetAfter;
-    ledgers().erase_idle(time(), ledger::Time(after));
+    ledgers().erase_idle(time(), ledger::Time(forget_after(ledgers().all().size())));
     quota_state_->shed_table.erase_expired(time());
+    const auto after = forget_after(accounts_.size());
     ledger::erase_some(accounts_, quota_state_->erase_cursor, [&](const auto& item) {
       const auto& [hash, account] = item;
       if (account.held_requests > 0 || account.open_attempts > 0 || due_queue_.contains(hash)) return false;
@@ -1137,10 +1142,20 @@
       const auto idle_time = now_ - std::max(account.refilled_at, account.requested_at);
       const double tokens = account.tokens + account.plan->rate * static_cast<double>(idle_time) / kSecond;
       const double share = isolated() ? 1.0 / account.spread : 1;
-      return idle_time > after && (account.plan->rate <= 0 || tokens >= account.plan->burst * share);
+      if (idle_time <= after || (account.plan->rate > 0 && tokens < account.plan->burst * share))
+        return false;
+      quota_state_->erased_epoch = std::max(quota_state_->erased_epoch, account.leader_epoch);
+      return true;
     });
   }
 
+  // How long an account or a ledger is kept that is not used, where there are so many of them.
+  Nanos forget_after(std::size_t count) const {
+    // Guarded quotas: claims are told apart by the number of the request, which would begin anew.
+    if (settings_.guarded) return count < kManyGuardedAccounts ? kForgetAfterIfFew : kForgetAfter;
+    return count < kManyAccounts ? kForgetAfterIfFew : kForgetAfterIfMany;
+  }
+
   // Sets the timer: to the next tick while anything waits, else to the next subperiod.
   void set_timer() {
     const bool waiting = !jobs_.empty() || transport().has_pending() || ledgers().has_transfers();
--- a/src/handover/module_state.cpp
+++ b/src/handover/module_state.cpp
@@ -100,6 +100,7 @@
   books.accounts = std::move(state.accounts);
   for (auto& [hash, a] : books.accounts) {
     a.plan = &books.plans[static_cast<std::size_t>(state.plans.at(hash))];
+    books.erased_epoch = std::max(books.erased_epoch, a.leader_epoch);
     if (a.requested_at > a.answered_at || a.changed) books.due_queue.schedule(hash, ledger::Time(0));
   }
   for (auto& [hash, ledger] : state.ledgers) {
--- a/src/ledger/quota_state.h
+++ b/src/ledger/quota_state.h
@@ -25,7 +25,10 @@
   std::unique_ptr<Transport> transport;  // null before the first step
   std::unique_ptr<Ledgers> ledgers;
   std::unique_ptr<LeaderSelection> leader_selection;  // null before the first step
-  ShedTable shed_table;            // customers whose requests are shed, where there are dedicated leaders
+  ShedTable shed_table;  // customers whose requests are shed, where there are dedicated leaders
+  // The highest leader epoch of an account that was erased. Leaders may still have its claim, so an account
+  // of that customer begins above it: as one that has changed its leader.
+  std::uint32_t erased_epoch = 0;
   std::uint32_t erase_cursor = 0;  // where the next pass over the accounts goes on
 
   // Prepares the account of a customer's first request here, where dedicated leaders notify all gatekeepers
--- a/testing/small_tier.h
+++ b/testing/small_tier.h
@@ -120,6 +120,10 @@
       }
     }
   }
+  // Whether the member keeps an account of the customer.
+  bool knows(int member, const std::string& customer) const {
+    return modules_[static_cast<std::size_t>(member)].allowance(now, customer).has_value();
+  }
   int all_sent() const {
     int out = 0;
     for (const auto& [at, count] : sent) out += count;
