Take up all that a slice of turns brings before the next one; tests and a tool for floods

Change: a turn of the module steps through 64 events at a time for half a millisecond, and while events wait no new work gets a turn (TurnScheduler::hold). Who waits again within its turn is charged first. Gauges are told apart from counters in the exports.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -11,10 +11,11 @@
 namespace cranemux::core {
 namespace {
 
-constexpr std::chrono::milliseconds kGuard{4};  // before the deadline, when the module has not answered
-constexpr std::chrono::hours kUploading{1};     // its channel ends one that does not come on
-constexpr std::size_t kMostCustomers = 1024;    // that the console's table keeps
-constexpr std::size_t kMostEvents = 64;         // taken up in one turn: other work comes between
+constexpr std::chrono::milliseconds kGuard{4};       // before the deadline, when the module has not answered
+constexpr std::chrono::hours kUploading{1};          // its channel ends one that does not come on
+constexpr std::size_t kMostCustomers = 1024;         // that the console's table keeps
+constexpr std::size_t kMostEvents = 64;              // taken up in one step
+constexpr std::chrono::microseconds kMostTurn{500};  // from here on a turn begins no further step
 
 template <class... Ts>
 struct Overloaded : Ts... {
@@ -192,7 +193,7 @@
 std::string Core::hand_over(std::function<void(const cranemux::SpentElsewhere&)> spent) {
   do {
     turn();
-  } while (!events_.empty());
+  } while (events_waiting() > 0);
   spent_ = std::move(spent);
   push(cranemux::HandedOver{true});
   return module_.save();
@@ -227,34 +228,45 @@
 }
 
 void Core::turn() {
-  const auto now = Clock::now();
+  const auto begin = Clock::now();
   turn_asked_ = true;  // what happens during the step is taken up after it
-  guard_deadlines(now);
-  while (!timers_.empty() && timers_.begin()->first <= now) {
-    events_.emplace_back(cranemux::Timer{timers_.begin()->second});
-    timers_.erase(timers_.begin());
-  }
-  if (!events_.empty()) {
-    if (events_.size() <= kMostEvents) {
-      std::swap(events_, stepping_);
-    } else {
-      const auto end = events_.begin() + kMostEvents;
-      stepping_.assign(std::make_move_iterator(events_.begin()), std::make_move_iterator(end));
-      events_.erase(events_.begin(), end);
-    }
+  guard_deadlines(begin);
+  add_due_timers(begin);
+  for (auto now = begin; now - begin < kMostTurn && next_events(); now = Clock::now()) {
     actions_.clear();
     module_.step(std::chrono::duration_cast<nanoseconds>(now.time_since_epoch()).count(), stepping_,
                  actions_);
     stepping_.clear();
     for (const auto& action : actions_) carry_out(action);
   }
-  turn_asked_ = !events_.empty();
+  turn_asked_ = events_waiting() > 0;
   if (turn_asked_) host_->turn_soon();
   auto next = timers_.empty() ? Clock::time_point::max() : timers_.begin()->first;
   if (!guards_.empty()) next = std::min(next, guards_.begin()->first);
   host_->turn_at(next);
 }
 
+void Core::add_due_timers(Clock::time_point now) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    events_.emplace_back(cranemux::Timer{timers_.begin()->second});
+    timers_.erase(timers_.begin());
+  }
+}
+
+bool Core::next_events() {
+  if (batch_taken_ == batch_.size()) {
+    batch_.clear();
+    batch_taken_ = 0;
+    std::swap(batch_, events_);
+  }
+  const auto from = batch_.begin() + static_cast<std::ptrdiff_t>(batch_taken_);
+  const auto count = std::min(kMostEvents, batch_.size() - batch_taken_);
+  stepping_.assign(std::make_move_iterator(from),
+                   std::make_move_iterator(from + static_cast<std::ptrdiff_t>(count)));
+  batch_taken_ += count;
+  return count > 0;
+}
+
 void Core::guard_deadlines(Clock::time_point now) {
   while (!guards_.empty() && guards_.begin()->first <= now) {
     const auto id = guards_.begin()->second;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -153,7 +153,9 @@
   void spent_elsewhere(const cranemux::SpentElsewhere& spent);
   // Answers all that is left, as the process is about to end.
   void give_up();
-  void turn();  // one step of the module, with all that has happened since the last
+  void turn();  // steps of the module, with what has happened since the last turn, in bounded time
+  // What has happened and was not taken up yet, in events.
+  std::size_t events_waiting() const { return events_.size() + batch_.size() - batch_taken_; }
 
   void forget_all() { rpcs_.clear(); }  // at the process's end: what is left has no answer
 
@@ -207,6 +209,8 @@
   void carry_out(const cranemux::Action& action);
   void send(const cranemux::Send& send);
   void guard_deadlines(Clock::time_point now);
+  void add_due_timers(Clock::time_point now);
+  bool next_events();  // the next ones of `batch_`, into `stepping_`; false: there are none
   void count(cranemux::Result result);
 
   const cranemux::Settings settings_;
@@ -216,7 +220,9 @@
   Peers* peers_ = nullptr;
   Host* host_ = nullptr;
   cranemux::DecisionModule module_;
-  std::vector<cranemux::Event> events_, stepping_;
+  // In the order in which they happened: those of the running step, those taken up next, and newer ones.
+  std::vector<cranemux::Event> stepping_, batch_, events_;
+  std::size_t batch_taken_ = 0;
   std::vector<cranemux::Action> actions_;
   std::multimap<Clock::time_point, std::uint64_t> timers_;
   std::set<std::pair<Clock::time_point, RpcId>> guards_;
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -58,6 +58,13 @@
   void each(Visit visit) const {
     each_of(*this, visit);
   }
+  // What stands now, or was the most so far; of the whole process.
+  template <typename Visit>
+  void each_gauge(Visit visit) const {
+    visit("loop_delay_ms", loop_delay_ms);
+    visit("loop_delay_max_ms", loop_delay_max_ms);
+    visit("turn_max_ms", turn_max_ms);
+  }
   Counters& operator+=(const Counters& other);
 
  private:
@@ -144,15 +151,12 @@
     visit("bodies_relayed", self.bodies_relayed);
     visit("bodies_ended_unread", self.bodies_ended_unread);
     visit("bodies_end_unseen", self.bodies_end_unseen);
+    visit("loop_late", self.loop_late);
+    visit("turns_long", self.turns_long);
     visit("handovers", self.handovers);
     visit("handovers_refused", self.handovers_refused);
     visit("handover_dropped", self.handover_dropped);
     visit("takeovers", self.takeovers);
-    visit("loop_late", self.loop_late);
-    visit("loop_delay_ms", self.loop_delay_ms);
-    visit("loop_delay_max_ms", self.loop_delay_max_ms);
-    visit("turns_long", self.turns_long);
-    visit("turn_max_ms", self.turn_max_ms);
   }
 };
 
@@ -173,7 +177,9 @@
 }
 
 inline std::ostream& operator<<(std::ostream& out, const Counters& counters) {
-  counters.each([&](const char* name, std::uint64_t value) { out << name << ' ' << value << '\n'; });
+  const auto print = [&](const char* name, std::uint64_t value) { out << name << ' ' << value << '\n'; };
+  counters.each(print);
+  counters.each_gauge(print);
   return out;
 }
 
--- a/src/metrics/export.cpp
+++ b/src/metrics/export.cpp
@@ -31,10 +31,12 @@
     }
     out += ' ' + std::to_string(value) + ' ' + std::to_string(unix_time.count()) + '\n';
   });
-  counters.each([&](const char* counter, std::uint64_t value) {
+  const auto add = [&](const char* counter, std::uint64_t value) {
     out += "cranemux." + plain(name, false) + '.' + counter + ' ' + std::to_string(value) + ' ' +
            std::to_string(unix_time.count()) + '\n';
-  });
+  };
+  counters.each_gauge(add);
+  counters.each(add);
   return out;
 }
 
@@ -53,10 +55,12 @@
            instance + "\" interval=" + std::to_string(interval.count()) + " N:" + std::to_string(value) +
            '\n';
   });
-  counters.each([&](const char* counter, std::uint64_t value) {
-    out += "PUTVAL \"" + plain(name, true) + "/cranemux/derive-" + counter +
+  const auto add = [&](const std::string& type, const char* counter, std::uint64_t value) {
+    out += "PUTVAL \"" + plain(name, true) + "/cranemux/" + type + counter +
            "\" interval=" + std::to_string(interval.count()) + " N:" + std::to_string(value) + '\n';
-  });
+  };
+  counters.each_gauge([&](const char* gauge, std::uint64_t value) { add("gauge-", gauge, value); });
+  counters.each([&](const char* counter, std::uint64_t value) { add("derive-", counter, value); });
   return out;
 }
 
--- a/src/net/turn_scheduler.cpp
+++ b/src/net/turn_scheduler.cpp
@@ -8,7 +8,7 @@
 namespace asio = boost::asio;
 
 // A turn in which the process did not run is no work of its source's.
-constexpr std::chrono::milliseconds kMostCharged{10};
+constexpr std::chrono::nanoseconds kMostCharged = TurnScheduler::kSlice;
 
 }  // namespace
 
@@ -37,18 +37,26 @@
 }
 
 void TurnScheduler::enqueue(std::shared_ptr<WorkSource::Usage> usage, std::unique_ptr<Waiter> waiter) {
-  const auto start = std::max(virtual_time_, usage->finish);
+  if (usage == running_) charge_running();
+  // Who comes back is as far behind as those that are served next, so it goes before them.
+  const auto start = std::max<std::chrono::nanoseconds>(virtual_time_ - kTurn, usage->finish);
+  waiting_weight_ += usage->weight;
   waiting_.push_back({start, arrivals_++, std::move(usage), std::move(waiter)});
   std::push_heap(waiting_.begin(), waiting_.end(), later);
   post_slice();
 }
 
+void TurnScheduler::release() {
+  if (--holders_ == 0 && !waiting_.empty()) post_slice();
+}
+
 void TurnScheduler::post_slice() {
-  if (!std::exchange(posted_, true)) asio::post(io_, [this] { run_slice(); });
+  if (holders_ == 0 && !std::exchange(posted_, true)) asio::post(io_, [this] { run_slice(); });
 }
 
 void TurnScheduler::run_slice() {
   posted_ = false;
+  if (holders_ > 0) return;
   const auto end = Clock::now() + kSlice;
   do {
     run_next();
@@ -61,21 +69,29 @@
   std::pop_heap(waiting_.begin(), waiting_.end(), later);
   auto next = std::move(waiting_.back());
   waiting_.pop_back();
+  waiting_weight_ -= next.usage->weight;
   virtual_time_ = std::max(virtual_time_, next.start);
+  next.usage->finish = std::max(next.usage->finish, next.start);
+  running_ = next.usage;
   const auto begin = Clock::now();
+  charged_until_ = begin;
   turn_ends_ = begin + kTurn;
   next.waiter->resume();
   turn_ends_ = Clock::time_point::max();
-  charge(next, Clock::now() - begin);
+  charge_running();
+  running_.reset();
+  const auto used = charged_until_ - begin;
+  longest_turn_ = std::max<std::chrono::nanoseconds>(longest_turn_, used);
+  long_turns_ += used >= kLongTurn;
 }
 
-// Virtual time goes on with the work, so that sources that are always new keep none of the others waiting.
-void TurnScheduler::charge(Waiting& ended, std::chrono::nanoseconds used) {
-  longest_turn_ = std::max(longest_turn_, used);
-  long_turns_ += used >= kLongTurn;
-  const auto charged = std::min<std::chrono::nanoseconds>(used, kMostCharged);
-  ended.usage->finish = std::max(ended.usage->finish, ended.start + charged / ended.usage->weight);
-  virtual_time_ += charged / static_cast<std::int64_t>(waiting_.size() + 1);
+// Virtual time goes on with the work, so sources that are always new keep none of the others waiting.
+void TurnScheduler::charge_running() {
+  const auto now = Clock::now();
+  const auto used = std::min<std::chrono::nanoseconds>(now - charged_until_, kMostCharged);
+  charged_until_ = now;
+  running_->finish += used / running_->weight;
+  virtual_time_ += used / (waiting_weight_ + running_->weight);
 }
 
 }  // namespace cranemux::net
--- a/src/net/turn_scheduler.h
+++ b/src/net/turn_scheduler.h
@@ -58,6 +58,10 @@
   // Whether the running turn has used its time. False outside of turns.
   bool over() const { return Clock::now() >= turn_ends_; }
 
+  // While anybody holds them, no turns are given: what earlier ones have brought is not taken up yet.
+  void hold() { ++holders_; }
+  void release();
+
   std::size_t waiting() const { return waiting_.size(); }
   std::uint64_t long_turns() const { return long_turns_; }
   std::chrono::nanoseconds longest_turn() const { return longest_turn_; }
@@ -92,14 +96,20 @@
   void post_slice();
   void run_slice();
   void run_next();
-  void charge(Waiting& ended, std::chrono::nanoseconds used);
+  void charge_running();  // the source whose turn it is, up to now
 
   boost::asio::io_context& io_;
   std::vector<Waiting> waiting_;  // a heap, the next one first
-  std::chrono::nanoseconds virtual_time_{};
+  std::chrono::nanoseconds
+      virtual_time_{};      // goes on with the work, divided by the weights of who takes part
+  int waiting_weight_ = 0;  // of all that wait
   std::uint64_t arrivals_ = 0, long_turns_ = 0;
   std::chrono::nanoseconds longest_turn_{};
+  // Of the running turn.
+  std::shared_ptr<WorkSource::Usage> running_;
+  Clock::time_point charged_until_;
   Clock::time_point turn_ends_ = Clock::time_point::max();
+  int holders_ = 0;
   bool posted_ = false;
 };
 
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -39,7 +39,7 @@
   core_.connect(attempts_, *line_, *this);
 }
 
-Pool::~Pool() = default;
+Pool::~Pool() { hold_new_work(false); }
 
 void Pool::start(bool watches) {
   watches_ = watches;
@@ -109,6 +109,13 @@
 void Pool::turn() {
   delay_.taken_up(net::Clock::now());
   core_.turn();
+  hold_new_work(core_.events_waiting() > 0);
+}
+
+void Pool::hold_new_work(bool hold) {
+  if (hold == std::exchange(holds_, hold)) return;
+  auto& turns = net::TurnScheduler::of(io_);
+  hold ? turns.hold() : turns.release();
 }
 
 void Pool::turn_at(net::Clock::time_point at) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "net/loop_delay.h"
 #include "net/net.h"
+#include "net/turn_scheduler.h"
 #include "peers/peers.h"
 #include "pool/admission.h"
 #include "pool/node_list.h"
@@ -64,6 +65,7 @@
   void turn_at(net::Clock::time_point at) override;
   void list_changed(const config::ResolverResult& result, cranemux::ListScope scope);
   void turn();
+  void hold_new_work(bool hold);
 
   net::asio::io_context& io_;
   config::PoolConfig config_;
@@ -80,6 +82,7 @@
   net::DelayProbe delay_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();  // for handlers that may come after the pool
   bool watches_ = false, leaving_ = false, stopped_ = false;
+  bool holds_ = false;  // new work, until the module has taken up what has come
 };
 
 }  // namespace cranemux::pool
--- a/testing/busy_core.cpp
+++ b/testing/busy_core.cpp
@@ -12,17 +12,15 @@
 namespace cranemux::testing {
 namespace {
 
-cpu_set_t last_core() {
-  cpu_set_t allowed;
-  CPU_ZERO(&allowed);
-  if (::sched_getaffinity(0, sizeof allowed, &allowed) != 0) throw std::runtime_error("no cores are known");
-  std::size_t last = 0;
+// One of them, another one for other processes where it can be.
+cpu_set_t one_of(const cpu_set_t& allowed, pid_t process) {
+  std::vector<std::size_t> cores;
   for (std::size_t i = 0; i < CPU_SETSIZE; ++i) {
-    if (CPU_ISSET(i, &allowed)) last = i;
+    if (CPU_ISSET(i, &allowed)) cores.push_back(i);
   }
   cpu_set_t one;
   CPU_ZERO(&one);
-  CPU_SET(last, &one);
+  CPU_SET(cores.at(static_cast<std::size_t>(process) % cores.size()), &one);
   return one;
 }
 
@@ -36,8 +34,10 @@
 
 }  // namespace
 
-BusyCore::BusyCore(pid_t program, std::size_t busy_processes) {
-  const auto core = last_core();
+BusyCore::BusyCore(pid_t program, std::size_t busy_processes) : program_(program) {
+  if (::sched_getaffinity(program, sizeof before_, &before_) != 0)
+    throw std::runtime_error("no cores are known");
+  const auto core = one_of(before_, program);
   if (::sched_setaffinity(program, sizeof core, &core) != 0)
     throw std::runtime_error("the core cannot be set");
   const auto parent = ::getpid();
@@ -49,6 +49,7 @@
 }
 
 BusyCore::~BusyCore() {
+  ::sched_setaffinity(program_, sizeof before_, &before_);  // it may have ended
   for (const auto pid : busy_) ::kill(pid, SIGKILL);
   for (const auto pid : busy_) ::waitpid(pid, nullptr, 0);
 }
--- a/testing/busy_core.h
+++ b/testing/busy_core.h
@@ -2,6 +2,7 @@
 // share a machine.
 #pragma once
 
+#include <sched.h>
 #include <sys/types.h>
 
 #include <cstddef>
@@ -19,6 +20,8 @@
   BusyCore& operator=(const BusyCore&) = delete;
 
  private:
+  const pid_t program_;
+  cpu_set_t before_{};  // cores of the program
   std::vector<pid_t> busy_;
 };
 
--- /dev/null
+++ b/testing/flood_play.cpp
@@ -0,0 +1,175 @@
+#include "testing/flood_play.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <sstream>
+
+#include "testing/busy_core.h"
+
+namespace cranemux::testing {
+namespace {
+
+constexpr milliseconds kHeadStart{500}, kToFinish{20'000};
+constexpr double kPerSecond = 40;
+constexpr milliseconds kMostLate{500};     // after a request's time: later, its answer is lost
+constexpr std::size_t kUsual = 1U << 30U;  // the first of the usual customers
+constexpr std::size_t kUsualCustomers = 5;
+constexpr milliseconds kUsualWait{2000}, kNoTime{1};
+constexpr std::size_t kBody = std::size_t{48} * 1024;  // bytes, as stand-in nodes read them
+
+bool books(std::size_t number) { return number % 4 == 0; }  // from 1 on, as the client counts
+
+Ask usual_request(std::size_t number, bool connects_anew) {
+  Ask ask;
+  ask.safe = !books(number);
+  ask.klass = ask.safe ? "job-status" : "book-job";
+  ask.deadline = ask.safe ? kStatusWait : kBookingWait;
+  ask.customer = customer_name(kUsual + number % kUsualCustomers);
+  if (connects_anew) ask.extra = "Connection: close\r\n";
+  return ask;
+}
+
+bool is_late(const Result& result) {
+  const auto wait = books(std::stoul(result.id.substr(1))) ? kBookingWait : kStatusWait;
+  return result.status == 0 || result.took > wait + kMostLate;
+}
+
+std::size_t count_of(const std::string& what, const std::string& text) {
+  std::size_t count = 0;
+  for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) ++count;
+  return count;
+}
+
+// Each has its answer at once.
+FloodKind at_once(const std::string& text) {
+  FloodKind kind;
+  kind.make = [text](std::size_t) { return text; };
+  return kind;
+}
+
+using MakeRequest = std::function<std::string(const std::string& id, std::size_t number)>;
+FloodKind platform_kind(const MakeRequest& make) {
+  FloodKind kind;
+  kind.make = [make](std::size_t i) { return make("f" + std::to_string(i), i); };
+  return kind;
+}
+
+// Held, or sent to workers: a few wait on each connection.
+FloodKind taken(const MakeRequest& make) {
+  auto kind = platform_kind(make);
+  kind.batch = 5;
+  kind.most_unanswered = 20;
+  return kind;
+}
+
+std::string booking(const std::string& id, std::size_t number) {
+  auto text =
+      platform_request(id, customer_name(number % kUsualCustomers), "business", kUsualWait, "book-job");
+  text.replace(0, 3, "POST");
+  text.insert(text.size() - 2, "Content-Length: " + std::to_string(kBody) + "\r\n");
+  return text + std::string(kBody, 'b');
+}
+
+std::map<std::string, FloodKind> all_kinds() {
+  const std::string health = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+  std::map<std::string, FloodKind> kinds;
+  kinds["health"] = at_once(health);
+  kinds["unsound_class"] = platform_kind([](const auto& id, std::size_t i) {
+    return platform_request(id, customer_name(i), "business", kUsualWait, "none");
+  });
+  kinds["unknown_plan"] = platform_kind([](const auto& id, std::size_t i) {
+    return platform_request(id, customer_name(i), "none", kUsualWait);
+  });
+  kinds["no_time_left"] = platform_kind([](const auto& id, std::size_t i) {
+    return platform_request(id, customer_name(i), "business", kNoTime);
+  });
+  kinds["no_time_left"].batch = kinds["unknown_plan"].batch = 20;
+  kinds["unsound_form"] = at_once("GET /api HTTP/1.1\r\nHost: a\r\n\r\n");
+  kinds["over_quota"] = taken([](const auto& id, std::size_t) {
+    return platform_request(id, customer_name(0), "corner", kStatusWait);
+  });
+  kinds["held_new_names"] = taken([](const auto& id, std::size_t i) {
+    return platform_request(id, customer_name(i), "corner", kStatusWait);
+  });
+  kinds["served_new_names"] = taken([](const auto& id, std::size_t i) {
+    return platform_request(id, customer_name(i), "business", kStatusWait);
+  });
+  kinds["answers_not_taken"] = kinds["health"];
+  kinds["answers_not_taken"].reads = kinds["answers_not_taken"].answered_each = false;
+  kinds["new_connections"] = kinds["health"];
+  kinds["new_connections"].reconnects = true;
+  kinds["heads_in_pieces"] = kinds["health"];
+  kinds["heads_in_pieces"].piece = 1;
+  kinds["long_heads"] =
+      at_once("GET /api HTTP/1.1\r\nHost: a\r\nA: " + std::string(15'000, 'a') + "\r\n\r\n");
+  kinds["long_heads"].batch = 10;
+  kinds["empty_lines"] = at_once("\r\n");
+  kinds["empty_lines"].answered_each = false;
+  kinds["long_bodies"] = taken(booking);
+  kinds["long_bodies"].batch = 1;
+  kinds["long_bodies"].most_unanswered = 2;
+  // The test's workers answer targets that begin so with many bytes.
+  kinds["long_answers"] = taken([](const auto& id, std::size_t i) {
+    auto text = platform_request(id, customer_name(i % kUsualCustomers), "business", kUsualWait);
+    return text.replace(text.find("/api"), 4, "/long");
+  });
+  return kinds;
+}
+
+}  // namespace
+
+const char* const kReportedClasses =
+    R"([{"name":"job-status","goal-time-ns":205000000,"give-up-ns":800000000,"points":3,"semantics":"free"},)"
+    R"({"name":"book-job","goal-time-ns":400000000,"give-up-ns":1500000000,"points":5,)"
+    R"("semantics":"single_shot"}])";
+
+FloodFigures FloodPlay::run(std::size_t connections, const FloodKind& kind) {
+  std::optional<BusyCore> core;
+  if (busy > 0) core.emplace(program.pid(), busy);
+  Client usual(stage, usual_port, rules);
+  FloodingClients flood(flooded_port, connections, kind);
+  stage.play(kHeadStart);
+  const auto before = program.resident_kb();
+  usual.flow(kPerSecond, stretch, [this](std::size_t i) { return usual_request(i + 1, connects_anew); });
+  usual.finish();
+  FloodFigures out;
+  out.growth_kb = program.resident_kb() - before;
+  const auto& results = usual.results();
+  out.asked = static_cast<std::size_t>(kPerSecond * std::chrono::duration<double>(stretch).count());
+  out.served = usual.count(200);
+  out.late = out.asked - results.size() +
+             static_cast<std::size_t>(std::count_if(results.begin(), results.end(), is_late));
+  out.median_ms = percentile_ms(results, 0.5);
+  out.p99_ms = percentile_ms(results, 0.99);
+  out.largest_ms = percentile_ms(results, 1);
+  out.ejections = count_of("ejected", log());
+  flood.stop_sending();
+  if (kind.answered_each) {
+    stage.play_until([&] { return flood.finished() || flood.broken(); }, kToFinish);
+    out.all_answered = flood.finished();
+  }
+  out.flooded = flood.sent();
+  out.answered = flood.answered();
+  out.least_answered = flood.least_answered();
+  return out;
+}
+
+std::string FloodFigures::text() const {
+  std::ostringstream out;
+  out.precision(0);
+  out << std::fixed << served << " of " << asked << " served, " << late << " late, " << median_ms << " / "
+      << p99_ms << " / " << largest_ms << " ms, " << ejections << " ejections, " << growth_kb << " KB, flood "
+      << answered << " of " << flooded << " answered" << (all_answered ? ", all in the end" : "");
+  return out.str();
+}
+
+FloodKind flood_kind(const std::string& name) { return all_kinds().at(name); }
+
+std::vector<std::string> flood_kinds() {
+  std::vector<std::string> names;
+  for (const auto& [name, kind] : all_kinds()) names.push_back(name);
+  return names;
+}
+
+}  // namespace cranemux::testing
--- a/testing/flooding_clients.cpp
+++ b/testing/flooding_clients.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t kPiece = std::size_t{64} * 1024;
 constexpr int kPollMs = 20;
 constexpr std::size_t kMostThreads = 4;
-constexpr std::chrono::milliseconds kLook{5};
 
 }  // namespace
 
@@ -37,14 +36,6 @@
   }
 }
 
-bool FloodingClients::finish(std::chrono::milliseconds most) {
-  finishing_ = true;
-  const auto end = std::chrono::steady_clock::now() + most;
-  while (finished_ < threads_.size() && !broken_ && std::chrono::steady_clock::now() < end)
-    std::this_thread::sleep_for(kLook);
-  return finished_ == threads_.size() && !broken_;
-}
-
 std::size_t FloodingClients::least_answered() const {
   auto least = answered_.load();
   for (const auto& some : connections_) {
--- a/testing/flooding_clients.h
+++ b/testing/flooding_clients.h
@@ -31,12 +31,13 @@
   FloodingClients(const FloodingClients&) = delete;
   FloodingClients& operator=(const FloodingClients&) = delete;
 
-  // Ends the sending, and waits until each request that was sent whole has been answered. False: that took
-  // longer than `most`, or a connection ended before.
-  bool finish(std::chrono::milliseconds most);
+  void stop_sending() { finishing_ = true; }
+  // After that: each request that was sent whole has been answered.
+  bool finished() const { return finished_ == threads_.size() && !broken_; }
+  bool broken() const { return broken_; }             // a connection ended before
   std::size_t sent() const { return sent_; }          // requests
   std::size_t answered() const { return answered_; }  // of them
-  // Answers on the connection with the fewest; after finish().
+  // Answers on the connection with the fewest; once finished.
   std::size_t least_answered() const;
 
  private:
--- a/testing/tier.h
+++ b/testing/tier.h
@@ -46,6 +46,7 @@
   // So many connections to it that say nothing, instead of those before.
   void crowd(int gatekeeper, int connections);
   bool listens(int gatekeeper);
+  int port(int gatekeeper) { return at(gatekeeper).port; }
   std::size_t idle_connections(int gatekeeper) { return at(gatekeeper).client->idle_connections(); }
   const std::vector<Result>& results(int gatekeeper) const {
     return gatekeepers_[static_cast<std::size_t>(gatekeeper)].client->results();
--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -23,7 +23,8 @@
   std::uint64_t seed = 1;
   int runs = 1, seconds = 30, jobs = 1;
   std::string program, folder = "soak";
-  bool alone = false;  // one run in this process
+  bool alone = false;   // one run in this process
+  bool floods = false;  // beside what the seeds draw
 };
 
 std::string folder_of(const Arguments& arguments, std::uint64_t seed) {
@@ -31,7 +32,7 @@
 }
 
 soak::Plan plan_of(const Arguments& arguments, std::uint64_t seed) {
-  return soak::draw(seed, milliseconds(arguments.seconds * 1000));
+  return soak::draw(seed, milliseconds(arguments.seconds * 1000), arguments.floods);
 }
 
 // How often each fault was drawn.
@@ -61,13 +62,19 @@
 
 // A run is a process of its own, so one that crashes takes no other with it.
 Row play_in_a_process(const Arguments& arguments, const std::string& self, std::uint64_t seed) {
+  std::vector<std::string> words{"--alone",
+                                 "--seed",
+                                 std::to_string(seed),
+                                 "--seconds",
+                                 std::to_string(arguments.seconds),
+                                 "--program",
+                                 arguments.program,
+                                 "--folder",
+                                 arguments.folder};
+  if (arguments.floods) words.emplace_back("--floods");
   Row row;
   row.seed = seed;
-  row.code =
-      testing::run(self,
-                   {"--alone", "--seed", std::to_string(seed), "--seconds", std::to_string(arguments.seconds),
-                    "--program", arguments.program, "--folder", arguments.folder},
-                   row.output);
+  row.code = testing::run(self, words, row.output);
   return row;
 }
 
@@ -121,6 +128,7 @@
       ->required()
       ->check(CLI::ExistingFile);
   app.add_option("--folder", arguments.folder, "keeps plans, timelines and logs, by seed");
+  app.add_flag("--floods", arguments.floods, "floods and small shares of a core beside what the seeds draw");
   app.add_flag("--alone", arguments.alone, "one run in this very process");
   CLI11_PARSE(app, count, words);
   if (arguments.alone) return play_alone(arguments);
--- a/tests/soak_plan.cpp
+++ b/tests/soak_plan.cpp
@@ -40,6 +40,13 @@
     Kind{Fault::crowd, "crowd", milliseconds(300), milliseconds(2500)},
 };
 
+// Beside the others, where they are asked for: seeds keep their plans.
+constexpr std::array kOverlaidKinds{
+    Kind{Fault::flood, "flood", milliseconds(1000), milliseconds(5000)},
+    Kind{Fault::small_share, "small_share", milliseconds(1000), milliseconds(5000)},
+};
+constexpr milliseconds kCalmBeginning{3000};
+
 // Draws that are the same everywhere: the standard's distributions are not.
 class Draws {
  public:
@@ -54,7 +61,9 @@
 };
 
 const Kind& kind_of(Fault fault) {
-  return *std::find_if(kKinds.begin(), kKinds.end(), [&](const Kind& kind) { return kind.fault == fault; });
+  const auto is = [&](const Kind& kind) { return kind.fault == fault; };
+  const auto overlaid = std::find_if(kOverlaidKinds.begin(), kOverlaidKinds.end(), is);
+  return overlaid != kOverlaidKinds.end() ? *overlaid : *std::find_if(kKinds.begin(), kKinds.end(), is);
 }
 
 bool needs_peers(Fault fault) {
@@ -89,13 +98,51 @@
       << " of the clients leave, " << in_pieces << " send in pieces\n";
   for (const auto& event : events) {
     out << "  " << event.at.count() << " ms " << name_of(event.fault) << " of gatekeeper " << event.gatekeeper
-        << " for " << event.lasts.count() << " ms\n";
+        << " for " << event.lasts.count() << " ms";
+    if (event.count > 0) out << ", " << event.kind << " " << event.count;
+    out << "\n";
   }
   return out.str();
 }
 
-Plan draw(std::uint64_t seed, milliseconds length) {
-  constexpr milliseconds kCalmBeginning{3000}, kLeastGap{200}, kMostGap{2500};
+namespace {
+
+// Floods of what is answered at once, on any front.
+Event draw_flood(Draws& draws, bool graphql) {
+  constexpr std::array kFloods{"health",          "new_connections", "answers_not_taken",
+                               "heads_in_pieces", "empty_lines",     "unsound_form",
+                               "long_heads",      "unsound_class",   "no_time_left"};
+  constexpr int kOnAnyFront = 4, kMostConnections = 60;
+  Event event{Fault::flood, {}, {}};
+  event.kind = kFloods.at(static_cast<std::size_t>(draws.below(graphql ? kOnAnyFront : kFloods.size())));
+  event.count = static_cast<std::size_t>(1 + draws.below(kMostConnections));
+  return event;
+}
+
+void add_floods(Plan& plan) {
+  constexpr std::uint64_t kOwnDraws = 0x666c6f6f64;
+  constexpr milliseconds kMostGap{4000};
+  constexpr int kMostBusy = 8;
+  Draws draws(plan.seed ^ kOwnDraws);
+  for (auto at = kCalmBeginning;;) {
+    auto event = draws.below(3) == 0 ? Event{Fault::small_share, {}, {}} : draw_flood(draws, plan.graphql);
+    if (event.fault == Fault::small_share) event.count = static_cast<std::size_t>(1 + draws.below(kMostBusy));
+    const auto& kind = kind_of(event.fault);
+    event.at = at;
+    event.lasts = draws.between(kind.least, kind.most);
+    event.gatekeeper = draws.below(plan.gatekeepers);
+    if (event.end() + kQuietEnd > plan.length) break;
+    at += draws.between(milliseconds(500), kMostGap);
+    plan.events.push_back(event);
+  }
+  std::stable_sort(plan.events.begin(), plan.events.end(),
+                   [](const Event& a, const Event& b) { return a.at < b.at; });
+}
+
+}  // namespace
+
+Plan draw(std::uint64_t seed, milliseconds length, bool floods) {
+  constexpr milliseconds kLeastGap{200}, kMostGap{2500};
   constexpr milliseconds kShortestDeadline{800};
   Draws draws(seed);
   Plan plan;
@@ -122,6 +169,7 @@
     at = beside ? event.at + event.lasts / 2 : event.end() + gap;
     plan.events.push_back(event);
   }
+  if (floods) add_floods(plan);
   return plan;
 }
 
--- a/tests/soak_plan.h
+++ b/tests/soak_plan.h
@@ -38,6 +38,8 @@
   nodes_late,          // both nodes take a second
   nodes_write_slowly,  // both nodes write long answers of no told length, in lumps with pauses
   crowd,               // idle clients take most of the descriptors, and leave at once
+  flood,               // clients send at full speed
+  small_share,         // other processes are busy on the gatekeeper's core
 };
 const char* name_of(Fault fault);
 
@@ -45,6 +47,8 @@
   Fault fault = Fault::loss;
   milliseconds at{0}, lasts{0};  // since the start of the run
   int gatekeeper = 0;            // the one that it is about
+  std::string kind = {};         // of a flood, as testing/flood_play.h has them
+  std::size_t count = 0;         // connections of a flood; busy processes of a small share
   milliseconds end() const { return at + lasts; }
 };
 
@@ -71,6 +75,7 @@
   std::string text() const;  // a line an event
 };
 
-Plan draw(std::uint64_t seed, milliseconds length);
+// `floods`: floods and small shares of a core come beside all else that the seed draws.
+Plan draw(std::uint64_t seed, milliseconds length, bool floods = false);
 
 }  // namespace cranemux::soak
--- a/tests/soak_run.cpp
+++ b/tests/soak_run.cpp
@@ -8,12 +8,15 @@
 #include <fstream>
 #include <list>
 #include <map>
+#include <memory>
 #include <set>
 
 #include "json/json.h"
 #include "ledger/rendezvous_hash.h"
 #include "ledger/replica_placement.h"
 #include "ledger/wire_encoding.h"
+#include "testing/busy_core.h"
+#include "testing/flood_play.h"
 #include "testing/sanitized.h"
 #include "testing/tier.h"
 
@@ -168,6 +171,14 @@
       case Fault::crowd:
         if (takes_part(one)) tier_.crowd(one, kCrowd);
         break;
+      case Fault::flood:
+        floods_[one].push_back(std::make_unique<testing::FloodingClients>(tier_.port(one), event.count,
+                                                                          testing::flood_kind(event.kind)));
+        break;
+      case Fault::small_share:
+        if (takes_part(one))
+          busy_[one] = std::make_unique<testing::BusyCore>(tier_.program(one).pid(), event.count);
+        break;
       default:
         set_network_and_nodes();
     }
@@ -197,6 +208,12 @@
       case Fault::crowd:
         tier_.crowd(one, 0);
         break;
+      case Fault::flood:
+        if (!floods_[one].empty()) floods_[one].pop_front();
+        break;
+      case Fault::small_share:
+        busy_.erase(one);
+        break;
       case Fault::reloads:
         break;
       default:
@@ -528,8 +545,10 @@
   std::vector<Step> steps_;
   std::multimap<milliseconds, std::function<void()>> later_;
   std::vector<Disturbance> disturbed_;
-  std::set<int> planned_;                       // ends by SIGTERM
-  std::set<int> ended_by_system_;               // likewise, before it had a handler for it
+  std::set<int> planned_;          // ends by SIGTERM
+  std::set<int> ended_by_system_;  // likewise, before it had a handler for it
+  std::map<int, std::list<std::unique_ptr<testing::FloodingClients>>> floods_;  // by gatekeeper
+  std::map<int, std::unique_ptr<testing::BusyCore>> busy_;
   std::map<int, std::vector<Sample>> samples_;  // of each process, since its start
   milliseconds next_sample_{0}, looked_{0}, longest_turn_{0};
   std::map<std::string, double> bounds_;
