--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -84,8 +84,8 @@
 
 // Idle state.
 constexpr Nanos kForgetAfterIfFew = 300 * kSecond;  // idle accounts and ledgers are erased after this ...
-constexpr Nanos kForgetAfterIfMany = 1 * kSecond;   // ... or this, from kManyAccounts on
-constexpr std::size_t kManyAccounts = 2048;
+constexpr Nanos kForgetAfterIfMany = 500 * kMs;     // ... or this, from kManyAccounts on
+constexpr std::size_t kManyAccounts = 1024;
 constexpr Nanos kForgetAfter = 60 * kSecond;  // the same of guarded quotas, and removed servers
 constexpr std::size_t kManyGuardedAccounts = 16384;
 constexpr std::size_t kMostAccounts = 16384;  // requests of further customers are refused
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -55,6 +55,8 @@
 
 // By this time every gatekeeper that sheds load by a share has turned to a new leader.
 constexpr Time kShareAdoptionTime = std::chrono::seconds(3);
+// A claim is kept so long at least: gatekeepers that hold requests report each subperiod.
+constexpr Time kLeastClaimTime = std::chrono::seconds(1);
 
 // A customer's quota record at its leader.
 struct Ledger {
@@ -312,13 +314,13 @@
   std::map<std::uint32_t, Ledger>& all() { return all_; }
   const std::map<std::uint32_t, Ledger>& all() const { return all_; }
 
-  // Erases claims that were not updated for half of `after`, and full ledgers that nobody requested for
-  // `after`. Each call covers some of the ledgers.
+  // Erases claims that were not updated for half of `after` (kLeastClaimTime at least), and full ledgers that
+  // nobody requested for `after`. Each call covers some of the ledgers.
   void erase_idle(Time now, Time after) {
     erase_some(all_, erase_cursor_, [&](auto& item) {
       auto& ledger = item.second;
       std::erase_if(ledger.claims, [&](const auto& claim) {
-        if (now - claim.second.updated_at <= after / 2) return false;
+        if (now - claim.second.updated_at <= std::max(after / 2, kLeastClaimTime)) return false;
         ledger.gatekeepers_short.erase(claim.first);
         return true;
       });
--- a/testing/flood_play.cpp
+++ b/testing/flood_play.cpp
@@ -85,6 +85,7 @@
     return platform_request(id, customer_name(i), "business", kNoTime);
   });
   kinds["no_time_left"].batch = kinds["unknown_plan"].batch = 20;
+  kinds["no_time_left"].most_unanswered = 1000;
   kinds["unsound_form"] = at_once("GET /api HTTP/1.1\r\nHost: a\r\n\r\n");
   kinds["over_quota"] = taken([](const auto& id, std::size_t) {
     return platform_request(id, customer_name(0), "corner", kStatusWait);
@@ -109,11 +110,13 @@
   kinds["long_bodies"] = taken(booking);
   kinds["long_bodies"].batch = 1;
   kinds["long_bodies"].most_unanswered = 2;
-  // The test's workers answer targets that begin so with many bytes.
-  kinds["long_answers"] = taken([](const auto& id, std::size_t i) {
-    auto text = platform_request(id, customer_name(i % kUsualCustomers), "business", kUsualWait);
-    return text.replace(text.find("/api"), 4, "/long");
-  });
+  // Workers answer these targets as set_up_flooded() says.
+  for (const std::string name : {"long", "interim"}) {
+    kinds[name + "_answers"] = taken([name](const auto& id, std::size_t i) {
+      auto text = platform_request(id, customer_name(i % kUsualCustomers), "business", kUsualWait);
+      return text.replace(text.find("/api"), 4, "/" + name);
+    });
+  }
   return kinds;
 }
 
@@ -124,6 +127,24 @@
     R"({"name":"book-job","goal-time-ns":400000000,"give-up-ns":1500000000,"points":5,)"
     R"("semantics":"single_shot"}])";
 
+void set_up_flooded(Site& site) {
+  constexpr std::size_t kLongAnswer = std::size_t{256} * 1024, kInterimAnswers = 500;
+  site.classes = kReportedClasses;
+  std::string interim;
+  for (std::size_t i = 0; i < kInterimAnswers; ++i) interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  interim += "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const auto* name : {"one", "two", "three", "four", "five", "six"}) {
+    auto& node = site.node(name);
+    node.behaviour.delay = milliseconds(30);
+    node.body = [=](const http::Message& message) {
+      return message.target.starts_with("/long") ? std::string(kLongAnswer, 'a') : std::string("short");
+    };
+    node.raw = [=](const http::Message& message) {
+      return message.target.starts_with("/interim") ? std::optional(interim) : std::nullopt;
+    };
+  }
+}
+
 FloodFigures FloodPlay::run(std::size_t connections, const FloodKind& kind) {
   std::optional<BusyCore> core;
   if (busy > 0) core.emplace(program.pid(), busy);
@@ -140,6 +161,12 @@
   out.served = usual.count(200);
   out.late = out.asked - results.size() +
              static_cast<std::size_t>(std::count_if(results.begin(), results.end(), is_late));
+  for (const auto& result : results) {
+    if (result.status != 200) {
+      out.unserved += " " + result.id + ":" + std::to_string(result.status) + "/" +
+                      std::to_string(std::chrono::duration_cast<milliseconds>(result.took).count());
+    }
+  }
   out.median_ms = percentile_ms(results, 0.5);
   out.p99_ms = percentile_ms(results, 0.99);
   out.largest_ms = percentile_ms(results, 1);
@@ -148,10 +175,10 @@
   if (kind.answered_each) {
     stage.play_until([&] { return flood.finished() || flood.broken(); }, kToFinish);
     out.all_answered = flood.finished();
+    if (out.all_answered) out.least_answered = flood.least_answered();
   }
   out.flooded = flood.sent();
   out.answered = flood.answered();
-  out.least_answered = flood.least_answered();
   return out;
 }
 
@@ -161,6 +188,7 @@
   out << std::fixed << served << " of " << asked << " served, " << late << " late, " << median_ms << " / "
       << p99_ms << " / " << largest_ms << " ms, " << ejections << " ejections, " << growth_kb << " KB, flood "
       << answered << " of " << flooded << " answered" << (all_answered ? ", all in the end" : "");
+  if (!unserved.empty()) out << "; not served, by status and ms:" << unserved;
   return out.str();
 }
 
--- a/testing/flood_play.h
+++ b/testing/flood_play.h
@@ -9,6 +9,7 @@
 #include "testing/client.h"
 #include "testing/flooding_clients.h"
 #include "testing/program.h"
+#include "testing/site.h"
 #include "testing/stage.h"
 
 namespace cranemux::testing {
@@ -22,6 +23,7 @@
   std::size_t asked = 0, served = 0;  // of the usual requests
   std::size_t late = 0;               // answered more than half a second after their time, or never
   double median_ms = 0, p99_ms = 0, largest_ms = 0;
+  std::string unserved;  // requests that were not: their ids, statuses and ms
   std::size_t ejections = 0;
   long growth_kb = 0;                     // of the program's memory
   std::size_t flooded = 0, answered = 0;  // requests of the flooding clients
@@ -44,6 +46,9 @@
   FloodFigures run(std::size_t connections, const FloodKind& kind);
 };
 
+// Six workers of 30 ms, and the classes of the report. Before the site's start.
+void set_up_flooded(Site& site);
+
 // Kinds of floods on the platform's front, by name; throws std::out_of_range for an unknown one.
 FloodKind flood_kind(const std::string& name);
 std::vector<std::string> flood_kinds();
--- a/testing/site.h
+++ b/testing/site.h
@@ -57,6 +57,7 @@
   Rules rules;
   Folder folder;
   int port = 0;
+  int mail_port() const { return mail_; }   // where other gatekeepers' messages come
   std::map<std::string, std::string> more;  // environment
 
  private:
