--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -120,6 +120,12 @@
   std::vector<Attempt> attempts;
 };
 
+// Of an outcome that counts as a failure.
+const char* name_of(Result result) {
+  if (result == Result::reset) return "broken connection";
+  return result == Result::connect_failed ? "failed connect" : "missing answer";
+}
+
 }  // namespace
 
 // The state and the decisions of one module: on() handles an event, act() emits an action.
@@ -874,7 +880,9 @@
       server.ejected_for =
           std::min(kMaxEjection, server.ejected_for > 0 ? server.ejected_for * 2 : kFirstEjection);
       server.ejected_until = now_ + server.ejected_for;
-      act(Log{"ejected " + server.entry.id});
+      act(Log{"ejected " + server.entry.id + ": " + std::to_string(server.strikes) +
+              " failures in a row, the last a " + name_of(outcome.result) + " after " +
+              std::to_string(outcome.took / kMs) + " ms"});
     }
   }
 
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -120,7 +120,7 @@
   processing_ = true;
   std::size_t at = 0;
   while (can_process(at)) {
-    if (server_.turns_.over()) {
+    if (at > 0 && server_.turns_.over()) {
       process_soon();
       break;
     }
@@ -141,8 +141,12 @@
   auto verdict = http::parse(rest, http::Kind::request, message);
   need_ = verdict.need;
   const bool too_long = verdict.state == http::State::bad && verdict.status == 413;
-  if (verdict.state == http::State::partial || too_long) go_on(message);
-  if (broken_) return false;
+  if (verdict.state == http::State::partial || too_long) {
+    send_replies();  // before what is said to this one
+    if (engaged() || broken_) return false;
+    go_on(message);
+    if (broken_) return false;
+  }
   if (too_long || rest.size() > http::kMostBuffer) {
     if (at > 0) {
       drop_processed(std::exchange(at, 0));
--- a/src/net/turn_scheduler.cpp
+++ b/src/net/turn_scheduler.cpp
@@ -28,9 +28,9 @@
 }
 
 asio::awaitable<void> TurnScheduler::turn(WorkSource& source) {
-  const auto wait = [this](auto&& handler, std::shared_ptr<WorkSource::Usage> usage) {
+  const auto wait = [this](auto&& handler, const std::shared_ptr<WorkSource::Usage>& usage) {
     using Handler = std::decay_t<decltype(handler)>;
-    enqueue(std::move(usage), std::make_unique<WaiterOf<Handler>>(std::forward<decltype(handler)>(handler)));
+    enqueue(usage, std::make_unique<WaiterOf<Handler>>(std::forward<decltype(handler)>(handler)));
   };
   return asio::async_initiate<const asio::use_awaitable_t<>&, void()>(wait, asio::use_awaitable,
                                                                       source.usage_);
--- a/tests/flood_main.cpp
+++ b/tests/flood_main.cpp
@@ -3,6 +3,7 @@
 // [--anew]
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <exception>
 #include <string>
 #include <vector>
 
@@ -48,9 +49,7 @@
   std::fflush(stdout);
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   CLI::App app{"What usual clients get beside a flood"};
   Choice choice;
   app.add_option("--program", choice.program)->required();
@@ -64,3 +63,10 @@
   for (const auto& kind : kinds) measure(choice, kind);
   return 0;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) try { return run(argc, argv); } catch (const std::exception& error) {
+  std::fprintf(stderr, "%s\n", error.what());
+  return 1;
+}
--- a/tests/soak_plan.cpp
+++ b/tests/soak_plan.cpp
@@ -115,7 +115,7 @@
   constexpr int kOnAnyFront = 4, kMostConnections = 60;
   Event event{Fault::flood, {}, {}};
   event.kind = kFloods.at(static_cast<std::size_t>(draws.below(graphql ? kOnAnyFront : kFloods.size())));
-  event.count = static_cast<std::size_t>(1 + draws.below(kMostConnections));
+  event.count = 1 + static_cast<std::size_t>(draws.below(kMostConnections));
   return event;
 }
 
@@ -126,7 +126,7 @@
   Draws draws(plan.seed ^ kOwnDraws);
   for (auto at = kCalmBeginning;;) {
     auto event = draws.below(3) == 0 ? Event{Fault::small_share, {}, {}} : draw_flood(draws, plan.graphql);
-    if (event.fault == Fault::small_share) event.count = static_cast<std::size_t>(1 + draws.below(kMostBusy));
+    if (event.fault == Fault::small_share) event.count = 1 + static_cast<std::size_t>(draws.below(kMostBusy));
     const auto& kind = kind_of(event.fault);
     event.at = at;
     event.lasts = draws.between(kind.least, kind.most);
--- a/tests/turn_scheduler_test.cpp
+++ b/tests/turn_scheduler_test.cpp
@@ -70,7 +70,7 @@
         [](Turns& turns, std::shared_ptr<WorkSource> source) -> awaitable<void> {
           co_await turns.work(*source, 'n', 1, microseconds(50));
         }(*this, fresh),
-        [&](std::exception_ptr) { another(); });
+        [&](const std::exception_ptr&) { another(); });
   };
   for (int i = 0; i < 4; ++i) another();
   start(old, 'O', 1);
