--- a/testing/flood_play.cpp
+++ b/testing/flood_play.cpp
@@ -153,7 +153,7 @@
   stage.play(kHeadStart);
   const auto before = program.resident_kb();
   usual.flow(kPerSecond, stretch, [this](std::size_t i) { return usual_request(i + 1, connects_anew); });
-  usual.finish();
+  usual.finish(stretch + kToFinish);
   FloodFigures out;
   out.growth_kb = program.resident_kb() - before;
   const auto& results = usual.results();
