--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -49,12 +49,19 @@
 
 // Drops interim answers (1xx) from the start of `buffer`, and counts their bytes in `interim`.
 http::Verdict parse_answer(std::string& buffer, std::size_t& interim, http::Message& answer, bool ended) {
+  std::size_t passed = 0;
   for (;;) {
-    const auto verdict = http::parse(buffer, http::Kind::response, answer, ended);
-    if (verdict.state != http::State::whole || answer.status >= 200) return verdict;
-    interim += answer.size;
-    if (answer.status == 101 || interim > http::kMostHead) return {http::State::bad, 502, 0};
-    buffer.erase(0, answer.size);
+    const auto verdict =
+        http::parse(std::string_view(buffer).substr(passed), http::Kind::response, answer, ended);
+    if (verdict.state == http::State::whole && answer.status < 200) {
+      passed += answer.size;
+      interim += answer.size;
+      if (answer.status == 101 || interim > http::kMostHead) return {http::State::bad, 502, 0};
+    } else if (passed == 0) {
+      return verdict;
+    } else {  // many at once are dropped in one go; what `answer` refers to has moved
+      buffer.erase(0, std::exchange(passed, 0));
+    }
   }
 }
 
