--- a/src/attempt/attempts.cpp
+++ b/src/attempt/attempts.cpp
@@ -274,12 +274,12 @@
               " id=", call.payload->id());
 }
 
-// An idle connection, if one is surely still open: the worker's machine may have closed it, and soon will.
-// Where workers say too much, what is on its way on one just used would be taken for the answer to the next
-// request.
+// The connection used last of those that have rested, if it is surely still open: the worker's machine may
+// have closed it, and soon will. A second copy of an answer that is on its way on one just used would be
+// taken for the answer to the next request.
 std::unique_ptr<Attempts::Connection> Attempts::reuse(Worker& worker) {
   const auto now = Clock::now(), oldest = now - limits_.connection_idle * 4 / 5;
-  const auto newest = now < rests_until_ ? now - limits_.rest : now;
+  const auto newest = now - (now < wary_until_ ? limits_.wary_rest : limits_.rest);
   for (auto at = worker.idle.size(); at-- > 0;) {
     if (worker.idle[at]->idle_since > newest) continue;
     auto connection = std::move(worker.idle[at]);
@@ -295,7 +295,7 @@
 
 void Attempts::too_much() {
   ++counters_.attempts_overfull;
-  rests_until_ = Clock::now() + kWary;
+  wary_until_ = Clock::now() + kWary;
 }
 
 bool Attempts::close_oldest_idle() {
--- a/src/attempt/attempts.h
+++ b/src/attempt/attempts.h
@@ -57,8 +57,9 @@
 
 struct Limits {
   std::chrono::nanoseconds connect_timeout{}, connection_idle{}, drain_grace{};
-  // Workers that have said more than was asked for may say it a little late: their connections rest so long.
-  std::chrono::nanoseconds rest = std::chrono::milliseconds(25);
+  // A second copy of an answer may come some milliseconds late: a connection rests so long before it is used
+  // again, and longer for a while after a worker has said more than was asked for.
+  std::chrono::nanoseconds rest = std::chrono::milliseconds(25), wary_rest = std::chrono::milliseconds(100);
   // A worker whose machine takes nothing of a body for so long is dead, not slow.
   std::chrono::nanoseconds body_silence = std::chrono::seconds(10);
 };
@@ -166,7 +167,7 @@
   net::asio::steady_timer sweeper_;
   pool::Purse& connections_;
   const std::function<bool()> reclaim_;
-  net::Clock::time_point rests_until_{};  // connections, before they are used again
+  net::Clock::time_point wary_until_{};  // of workers that say more than was asked for
   net::Scope scope_;
 };
 
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -39,7 +39,10 @@
 };
 
 struct Called {
-  explicit Called(std::chrono::nanoseconds silence = std::chrono::seconds(10)) : body_silence(silence) {
+  static constexpr std::chrono::nanoseconds kLongRest = std::chrono::hours(1);
+  explicit Called(std::chrono::nanoseconds silence = std::chrono::seconds(10),
+                  std::chrono::nanoseconds connections_rest = kLongRest)
+      : body_silence(silence), rest(connections_rest) {
     resolve(static_cast<std::uint16_t>(node.port()));
   }
   void resolve(std::uint16_t port) {
@@ -69,7 +72,7 @@
     return s;
   }
 
-  const std::chrono::nanoseconds body_silence;
+  const std::chrono::nanoseconds body_silence, rest;
   testing::Stage stage;
   testing::Node node{stage, "one"};
   metrics::Logger logger{STDERR_FILENO, metrics::Level::error};
@@ -78,8 +81,8 @@
   pool::Purse purse{std::make_shared<pool::SharedBudget>(8), {8, 8}};
   Attempts attempts{stage.io(),
                     core,
-                    {std::chrono::seconds(5), std::chrono::seconds(30), std::chrono::seconds(1),
-                     std::chrono::hours(1), body_silence},
+                    {std::chrono::seconds(5), std::chrono::seconds(30), std::chrono::seconds(1), rest,
+                     kLongRest, body_silence},
                     purse,
                     [] { return false; },
                     logger,
@@ -180,11 +183,98 @@
   EXPECT_EQ(called.counters.attempts_ok, 1U);
 }
 
-// A node says something more after its answer. From then on a connection rests before it is used again, so
-// that what is still on its way is not taken for the next answer; before that the last one used serves at
-// once.
-TEST(Attempts, WhereNodesSayTooMuchConnectionsRest) {
+// A worker whose connections the test writes on when it likes. Requests stay unread until then.
+class ScriptedWorker {
+ public:
+  explicit ScriptedWorker(net::asio::io_context& io)
+      : acceptor_(io, {net::asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  bool asked(std::size_t connection) {
+    return connection < sockets_.size() && sockets_[connection].available() > 0;
+  }
+  void answer(std::size_t connection, const std::string& text) {
+    auto& socket = sockets_.at(connection);
+    std::string request(socket.available(), 0);
+    net::asio::read(socket, net::asio::buffer(request));
+    say(connection, text);
+  }
+  void say(std::size_t connection, const std::string& text) {
+    net::asio::write(sockets_.at(connection), net::asio::buffer(text));
+  }
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error, net::tcp::socket socket) {
+      if (error) return;
+      sockets_.push_back(std::move(socket));
+      accept();
+    });
+  }
+  net::tcp::acceptor acceptor_;
+  std::vector<net::tcp::socket> sockets_;
+};
+
+const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string kDeclined =
+    "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Reads a refusal as the fronts do.
+class Booking : public Get {
+ public:
+  core::AttemptResult read(const http::Message& answer) const override {
+    core::AttemptResult result;
+    if (answer.field("Srv-Declined")) result.result = cranemux::Result::full;
+    return result;
+  }
+};
+
+// Guards against a second copy that comes late, when the connection is in use again: the next client would
+// get another's answer, and a refusal would have an unsafe request sent again.
+TEST(Attempts, ASecondCopyThatComesLateIsNotTakenForTheNextAnswer) {
   Called called;
+  ScriptedWorker worker(called.stage.io());
+  called.resolve(worker.port());
+  called.payload = std::make_shared<Booking>();
+  const auto start = [&](core::RpcId rpc) {
+    called.attempts.start(rpc, 0, "one", {std::chrono::seconds(10)}, called.payload);
+  };
+  start(1);
+  ASSERT_TRUE(called.stage.play_until([&] { return worker.asked(0); }));
+  worker.answer(0, kDeclined);
+  ASSERT_TRUE(called.stage.play_until([&] { return called.counters.attempts_full == 1; }));
+  start(2);
+  ASSERT_TRUE(called.stage.play_until([&] { return worker.asked(0) || worker.asked(1); }));
+  worker.say(0, kDeclined);
+  ASSERT_TRUE(worker.asked(1));
+  worker.answer(1, kAnswer);
+  ASSERT_TRUE(called.stage.play_until([&] { return called.counters.attempts_ok == 1; }));
+  EXPECT_EQ(called.counters.attempts_full, 1U);
+}
+
+// The same copy, come while the connection rests: it is closed, and what follows is on its guard.
+TEST(Attempts, OneThatRestsAndSaysMoreIsClosed) {
+  Called called(std::chrono::seconds(10), std::chrono::nanoseconds(0));
+  ScriptedWorker worker(called.stage.io());
+  called.resolve(worker.port());
+  called.start();
+  ASSERT_TRUE(called.stage.play_until([&] { return worker.asked(0); }));
+  worker.answer(0, kAnswer);
+  ASSERT_TRUE(called.stage.play_until([&] { return called.counters.attempts_ok == 1; }));
+  worker.say(0, kAnswer);
+  called.attempts.start(2, 0, "one", {std::chrono::seconds(10)}, called.payload);
+  ASSERT_TRUE(called.stage.play_until([&] { return worker.asked(0) || worker.asked(1); }));
+  EXPECT_FALSE(worker.asked(0));
+  worker.answer(1, kAnswer);
+  ASSERT_TRUE(called.stage.play_until([&] { return called.counters.attempts_ok == 2; }));
+  EXPECT_EQ(called.counters.attempts_overfull, 1U);
+}
+
+// A connection that has rested serves again. Once a node says something more after its answer, connections
+// rest longer.
+TEST(Attempts, WhereNodesSayTooMuchConnectionsRestLonger) {
+  Called called(std::chrono::seconds(10), std::chrono::nanoseconds(0));
   const auto ask = [&](core::RpcId rpc) {
     const auto before = called.counters.attempts_ok;
     called.attempts.start(rpc, 0, "one", {std::chrono::seconds(10)}, called.payload);
@@ -193,8 +283,7 @@
   ASSERT_TRUE(ask(1));
   ASSERT_TRUE(ask(2));
   EXPECT_EQ(called.counters.worker_connections, 1U);
-  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-  called.node.raw = [&](const http::Message&) { return answer + answer; };
+  called.node.raw = [&](const http::Message&) { return kAnswer + kAnswer; };
   ASSERT_TRUE(ask(3));  // its connection goes
   called.node.raw = {};
   ASSERT_TRUE(ask(4));
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -50,7 +50,9 @@
   site.start();
   Wire wire(site.stage, site.port);
   std::string body;
+  constexpr milliseconds kRested{100};  // a connection to the worker serves again by then
   const auto ask = [&](const std::string& id, const std::string& answer) {
+    site.stage.play(kRested);
     told = answer;
     wire.send(request(id));
     return wire.answer(body);
