--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -69,7 +69,8 @@
 constexpr double kGoodAnswerAimShare = 0.25;        // of the aim: answers within this open the window
 constexpr double kLateAnswerAimShare = 0.4;         // of the aim: answers past this close it
 constexpr Nanos kMinWindowCutInterval = 100 * kMs;  // late answers closer together close it once
-constexpr double kIdleUse = 0.3;  // of the windows: below this use, requests beyond a quota are served
+constexpr double kMostUploadUse = 0.5;  // of the windows, by requests whose bodies are not whole yet
+constexpr double kIdleUse = 0.3;        // of the windows: below this use, requests beyond a quota are served
 
 // Ejection, retries and hedging.
 constexpr int kFailuresToEject = 3;            // consecutive
@@ -425,7 +426,7 @@
     const auto at = jobs_.find(uploaded.request);
     if (at == jobs_.end()) return;
     auto& job = at->second;
-    job.request.uploading = false;
+    if (std::exchange(job.request.uploading, false)) uploads_out_ -= job.attempts_out;
     job.retry_at = now_ + job.retry_after;
     set_deadlines(job, now_ - uploaded.waited);
   }
@@ -825,6 +826,8 @@
         windows_.in_use(servers_);  // the sum of the windows bounds all open attempts, too
     servers_idle_ = open < kIdleUse * windows;
     if (open > windows || now_ >= repeat_deadline(job)) return -1;
+    // A body comes as slowly as its client likes: others find places beside it.
+    if (job.request.uploading && uploads_out_ >= std::max(1.0, kMostUploadUse * windows)) return -1;
     for (std::size_t i = 0; i < servers_.size(); ++i) {
       const auto& server = servers_[i];
       if (!can_take_attempt(server) || !may_repeat_at(job, server)) continue;
@@ -912,6 +915,7 @@
     job.attempts.push_back({server, now_, true, true, false});
     job.attempts_out += 1;
     target.open += 1;
+    uploads_out_ += job.request.uploading ? 1 : 0;
     target.cold_tokens -= 1;
     if (job.attempts.size() == 1)
       hedge_tokens_ = std::min(kMaxHedgeTokens, hedge_tokens_ + kHedgeTokensPerRequest);
@@ -941,6 +945,7 @@
     job.attempts_out -= 1;
     auto& server = servers_[static_cast<std::size_t>(attempt.server)];
     server.open -= 1;
+    uploads_out_ -= job.request.uploading ? 1 : 0;
     record_outcome(server, job, attempt, outcome);
     auto& account = accounts_[job.account];
     account.open_attempts -= 1;
@@ -1193,6 +1198,7 @@
   pool::AnswerTimes answer_times_{kInitialLatencyAimShare};
   pool::Load load_;
   const pool::Windows windows_{settings_.gateways};
+  int uploads_out_ = 0;  // attempts whose request's body is not whole yet
   const pool::ColdStart cold_start_{settings_.cold_from, settings_.warm_up, settings_.gateways};
   double recent_answers_ = 0;  // decays over kAnswerRateWindow
   double hedge_tokens_ = 0;
--- a/src/front/channel_policy.cpp
+++ b/src/front/channel_policy.cpp
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 
+#include "front/arrival_deadline.h"
+
 namespace cranemux::front {
 namespace {
 
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSilent{2000};    // for the first byte of the first request, and idle in a crowd
-constexpr milliseconds kReading{2700};   // for a request's head; for the first one, from the connection on
-constexpr std::size_t kLeastPerMs = 32;  // bytes, of what comes after it
 constexpr milliseconds kIdle{30'000};    // between requests, while there is room
 constexpr milliseconds kWriting{8000};   // in which a client takes nothing of its answer
 constexpr milliseconds kLeaving{1000};   // for a client to end its side after its last answer
@@ -19,12 +19,12 @@
 
 }  // namespace
 
-milliseconds time_limit(ChannelState state, bool crowded, std::size_t read) {
+milliseconds time_limit(ChannelState state, bool crowded) {
   switch (state) {
     case ChannelState::silent:
       return kSilent;
     case ChannelState::reading:
-      return kReading + milliseconds(read / kLeastPerMs);
+      return ArrivalDeadline::kLongestSilence;
     case ChannelState::waiting:
       return std::chrono::hours(24);  // the core answers in time
     case ChannelState::streaming:
--- a/src/front/channel_policy.h
+++ b/src/front/channel_policy.h
@@ -9,9 +9,9 @@
 // What a channel is doing: each but `waiting` and `streaming` has its time limit.
 enum class ChannelState { silent, reading, waiting, writing, idle, leaving, streaming };
 
-// How long a channel may stay in a state. In a crowd an idle one has no more than a silent one.
-// A request that is not whole has more the more of it has come: slow is not dead.
-std::chrono::milliseconds time_limit(ChannelState state, bool crowded, std::size_t read = 0);
+// How long a channel may stay in a state; in `reading`, without anything more (ArrivalDeadline). In a crowd
+// an idle one has no more than a silent one.
+std::chrono::milliseconds time_limit(ChannelState state, bool crowded);
 
 // Which goes first where room is short, the lowest first: those done with, those that dawdle, those between
 // requests, the rest.
--- a/src/front/channel_server.cpp
+++ b/src/front/channel_server.cpp
@@ -69,7 +69,8 @@
       co_await rest.async_wait(net::kResult);
       break;
     }
-    if (in_.empty() && spoke_ && !engaged()) since_ = net::Clock::now();
+    if (in_.empty() && spoke_ && !engaged()) await_request();
+    request_due_.received(net::Clock::now(), count);
     in_.append(piece.data(), count);
     if (upload_) upload_->read += count;
     uploading() ? feed() : process();
@@ -111,7 +112,7 @@
 void HttpChannel::resume() {
   if (broken_ || process_queued_ || (uploading() ? upload_->pipe->full() : engaged())) return;
   if (!std::exchange(paused_, false)) return;
-  if (uploading()) since_ += net::Clock::now() - upload_->paused;  // it was not the client that waited
+  if (uploading()) request_due_.paused(net::Clock::now() - upload_->paused);
   net::spawn(socket_.get_executor(), server_.logger_, "channel", run());
 }
 
@@ -496,7 +497,7 @@
   std::string().swap(out_);
   sent_ = 0;
   spoke_ = true;
-  since_ = net::Clock::now();
+  await_request();
   if (stream_ && !stream_ends_) return;
   stream_.reset();
   stream_ends_ = false;
@@ -571,6 +572,18 @@
   return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void HttpChannel::await_request() {
+  since_ = net::Clock::now();
+  request_due_ = ArrivalDeadline(since_);
+}
+
+// What has come and is not read yet is not the client's silence.
+bool HttpChannel::overdue(net::Clock::time_point now, bool crowded) {
+  const auto now_in = state();
+  if (now_in == State::reading) return request_due_.over(now) && !unread();
+  return now - since_ >= time_limit(now_in, crowded);
+}
+
 void HttpChannel::close_between_requests() {
   const auto now = state();
   if ((now != State::idle && now != State::silent) || unread()) return;
@@ -718,8 +731,7 @@
     for (auto* channel : channels()) {
       channel->look_for_end(now);
       // None of those that follow is gone: only what times out itself leaves.
-      if (now - channel->since() >= time_limit(channel->state(), crowded, channel->read()))
-        channel->time_out();
+      if (channel->overdue(now, crowded)) channel->time_out();
     }
   }
 }
--- a/src/front/channel_server.h
+++ b/src/front/channel_server.h
@@ -14,6 +14,7 @@
 
 #include "attempt/body_pipe.h"
 #include "core/core.h"
+#include "front/arrival_deadline.h"
 #include "front/body_arrival.h"
 #include "front/channel_policy.h"
 #include "front/last_byte_estimate.h"
@@ -64,11 +65,10 @@
   bool send(std::string_view part);
   std::size_t unsent() const { return out_.size() - sent_ + next_.size(); }
   net::Clock::time_point took_last() const { return since_; }  // the client has taken something
-  net::WorkSource& work() { return work_; }
-  void end_stream();                       // once all is sent
-  bool chunks() const { return chunks_; }  // the stream's parts go as chunks
-  bool pressed() const;                    // all channels together hold much
-  void drain();                            // a stream ends in order, an idle channel at once
+  void end_stream();                                           // once all is sent
+  bool chunks() const { return chunks_; }                      // the stream's parts go as chunks
+  bool pressed() const;                                        // all channels together hold much
+  void drain();  // a stream ends in order, an idle channel at once
 
   using State = ChannelState;
   State state() const;
@@ -76,6 +76,7 @@
     return upload_ ? upload_->received : in_.size();
   }                                                        // of a request that is not whole
   net::Clock::time_point since() const { return since_; }  // this state began
+  bool overdue(net::Clock::time_point now, bool crowded);  // has been in this state for too long
   std::size_t bytes() const {
     return in_.capacity() + out_.capacity() + next_.capacity() + body_ +
            (upload_ ? upload_->pipe->held() : 0);
@@ -127,6 +128,7 @@
   void begin_time(std::chrono::nanoseconds waited);  // of an upload that was asked for
   void end_upload();
   void fail(int status);  // of a request that is not whole
+  void await_request();   // its time begins
   void reply(const Reply& reply);
   void send_replies();  // those that wait in `out_` for one write
   void write();
@@ -153,6 +155,7 @@
   core::RpcId rpc_ = 0;
   std::shared_ptr<void> context_;  // the front's own, for the answer
   net::Clock::time_point since_ = net::Clock::now();
+  ArrivalDeadline request_due_{since_};
   bool waits_ = false, writing_ = false, last_ = false, broken_ = false, processing_ = false, left_ = false;
   bool process_queued_ = false;  // waits for a turn in which to process what has come
   bool spoke_ = false;           // has had an answer
--- a/testing/flood_play.cpp
+++ b/testing/flood_play.cpp
@@ -18,6 +18,7 @@
 // On a connection: more than a gatekeeper reads at once, and no more than it answers in the time of a test.
 constexpr std::size_t kMostUnanswered = 5000;
 constexpr milliseconds kUsualWait{2000}, kNoTime{1};
+constexpr std::size_t kHalfWayLength = std::size_t{32} * 1024 * 1024, kHalfWaySent = 1024 * 1024;  // bytes
 constexpr std::size_t kBody = std::size_t{48} * 1024;  // bytes, as stand-in nodes read them
 
 bool books(std::size_t number) { return number % 4 == 0; }  // from 1 on, as the client counts
@@ -67,12 +68,15 @@
   return kind;
 }
 
-std::string booking(const std::string& id, std::size_t number) {
-  auto text =
-      platform_request(id, customer_name(number % kUsualCustomers), "business", kUsualWait, "book-job");
+// The head of a booking with a body of that length.
+std::string long_post(const std::string& id, std::size_t customer, std::size_t length) {
+  auto text = platform_request(id, customer_name(customer), "business", kUsualWait, "book-job");
   text.replace(0, 3, "POST");
-  text.insert(text.size() - 2, "Content-Length: " + std::to_string(kBody) + "\r\n");
-  return text + std::string(kBody, 'b');
+  return text.insert(text.size() - 2, "Content-Length: " + std::to_string(length) + "\r\n");
+}
+
+std::string booking(const std::string& id, std::size_t number) {
+  return long_post(id, number % kUsualCustomers, kBody) + std::string(kBody, 'b');
 }
 
 std::map<std::string, FloodKind> all_kinds() {
@@ -116,6 +120,11 @@
   kinds["long_bodies"] = taken(booking);
   kinds["long_bodies"].batch = 1;
   kinds["long_bodies"].most_unanswered = 2;
+  kinds["half_way"] = platform_kind([](const auto& id, std::size_t i) {
+    return long_post(id, i, kHalfWayLength) + std::string(kHalfWaySent, 'b');
+  });
+  kinds["half_way"].batch = kinds["half_way"].most_unanswered = 1;
+  kinds["half_way"].answered_each = false;
   // Workers answer these targets as set_up_flooded() says.
   for (const std::string name : {"long", "interim"}) {
     kinds[name + "_answers"] = taken([name](const auto& id, std::size_t i) {
--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -17,6 +17,16 @@
   }
 };
 
+namespace {
+
+// All that comes, up to the connection's end.
+net::awaitable<void> discard(net::tcp::socket& socket) {
+  std::string piece;
+  while (co_await net::read_more(socket, piece) > 0) piece.clear();
+}
+
+}  // namespace
+
 Node::Node(Stage& stage, std::string name, Rules* rules)
     : stage_(stage),
       name_(std::move(name)),
@@ -84,6 +94,10 @@
       if (co_await net::read_more(talk->socket, talk->in) == 0) break;
     }
     if (alive.expired()) co_return;
+    if (verdict.state == http::State::bad && verdict.status == 413) {  // longer than it holds: never answered
+      co_await discard(talk->socket);
+      if (alive.expired()) co_return;
+    }
     if (verdict.state != http::State::whole) break;
     known = id ? id(message) : std::string(message.field("Req-Id").value_or(""));
     ++taken_;
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -3,10 +3,13 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 
 #include "http/http.h"
+#include "testing/client.h"
+#include "testing/flooding_clients.h"
 #include "testing/site.h"
 #include "testing/wire.h"
 
@@ -429,11 +432,17 @@
   const auto data = pattern(16 * kMega);
   wire.send(request("big", "Content-Length: " + std::to_string(data.size()) + "\r\n", false));
   const auto start = Clock::now();
-  for (std::size_t at = 0; at < data.size(); at += kMega) {
-    wire.send(std::string_view(data).substr(at, kMega));
-    if (at + kMega == data.size() / 2) {
+  constexpr std::size_t kSlowly = 3200;  // bytes each 50 ms: 64 kB a second
+  for (std::size_t at = 0, piece = kMega; at < data.size(); at += piece) {
+    piece = kMega;
+    wire.send(std::string_view(data).substr(at, piece));
+    if (at + piece == data.size() / 2) {
       // Longer than the deadline that the request names.
-      while (Clock::now() < start + milliseconds(4500)) site.stage.play(milliseconds(50));
+      while (Clock::now() < start + milliseconds(4500)) {
+        wire.send(std::string_view(data).substr(at + piece, kSlowly));
+        piece += kSlowly;
+        site.stage.play(milliseconds(50));
+      }
       const auto more = site.life().program->resident_kb() - before;
       if (kMemoryTells) {
         EXPECT_LT(more, 6 * 1024);
@@ -593,5 +602,85 @@
   EXPECT_EQ(count("completed"), 0);
 }
 
+// Guards against clients that stop half way through a long request and hold all places in the workers'
+// windows, or come on so slowly that they do: usual ones are served while they stand there, and what was
+// theirs is free soon after.
+class half_way : public upload {
+ protected:
+  static constexpr std::size_t kClients = 40;
+  static constexpr milliseconds kToBegin{20};  // one that is refused never does
+  half_way() {
+    for (const auto* name : {"two", "three", "four"}) {
+      site.elsewhere[name] = readers.emplace_back(site.stage).address();
+    }
+    site.limits = R"({"sockets":1024,"memory_mb":64})";
+    site.start();
+    const auto data = pattern(kMega);
+    for (std::size_t i = 0; i < kClients; ++i) {
+      auto head = platform_request("half" + std::to_string(i), customer_name(i), "business",
+                                   milliseconds(2000), "book-job");
+      head.replace(0, 3, "POST");
+      head.insert(head.size() - 2, "Content-Length: 33554432\r\n");
+      auto& wire = wires.emplace_back(site.stage, site.port);
+      wire.send(head + data);
+      site.stage.play_until([&] { return begun() > i; }, kToBegin);
+    }
+    EXPECT_GE(begun(), readers.size() + 1);  // on each worker
+  }
+  std::size_t begun() const {
+    auto sum = reader.heads;
+    for (const auto& one : readers) sum += one.heads;
+    return sum;
+  }
+  // Usual requests for so long, all of them served.
+  void serves_others(milliseconds time, const std::function<void()>& beside = {}) {
+    constexpr double kPerSecond = 50;
+    static constexpr milliseconds kWait{800};
+    Client usual(site.stage, site.port, nullptr, "usual" + std::to_string(++rounds) + "-");
+    usual.flow(kPerSecond, time, [](std::size_t i) {
+      Ask ask;
+      ask.deadline = kWait;
+      ask.customer = customer_name(kClients + i % 10);
+      return ask;
+    });
+    const auto end = Clock::now() + time;
+    while (Clock::now() < end) {
+      if (beside) beside();
+      site.stage.play(milliseconds(50));
+    }
+    ASSERT_TRUE(usual.finish());
+    EXPECT_EQ(usual.count(200), usual.results().size());
+    EXPECT_GT(usual.results().size(), 0U);
+    EXPECT_LT(percentile_ms(usual.results(), 1), kWait.count());
+  }
+  std::deque<Reader> readers;
+  std::deque<Wire> wires;
+  int rounds = 0;
+};
+
+TEST_F(half_way, clients_that_stop_there) {
+  serves_others(milliseconds(1000));
+  std::string answer;
+  for (auto& wire : wires) {
+    ASSERT_TRUE(wire.answer(answer));
+    EXPECT_TRUE(wire.status == 408 || wire.status == 429 || wire.status == 503) << wire.status;
+  }
+  ASSERT_TRUE(site.stage.play_until([&] { return site.figure("router_pending") == 0; }, milliseconds(4000)));
+  serves_others(milliseconds(500));
+  EXPECT_EQ(count("completed"), 0);
+  EXPECT_EQ(site.log(0).find("ejected"), std::string::npos) << site.log(0);
+}
+
+TEST_F(half_way, clients_that_come_on_slowly) {
+  constexpr std::size_t kPiece = 3200;  // each 50 ms: 64 kB a second
+  const std::string piece(kPiece, 'a');
+  serves_others(milliseconds(5000), [&] {
+    for (auto& wire : wires) wire.write(piece);
+  });
+  const auto still_coming =
+      std::count_if(wires.begin(), wires.end(), [](auto& wire) { return wire.read() && wire.in.empty(); });
+  EXPECT_GT(still_coming, 0);
+}
+
 }  // namespace
 }  // namespace cranemux::testing
--- a/tests/channel_policy_test.cpp
+++ b/tests/channel_policy_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "front/arrival_deadline.h"
+
 namespace cranemux::front {
 namespace {
 
@@ -37,12 +39,53 @@
   EXPECT_EQ(time_limit(ChannelState::silent, false), milliseconds(2000));
   EXPECT_LT(time_limit(ChannelState::reading, false),
             milliseconds(3000));  // bad clients are owed a word by then
-  // Slow is not dead: what has come of a body gives time for more, at 32 bytes a ms.
-  EXPECT_EQ(time_limit(ChannelState::reading, false, 32'000) - time_limit(ChannelState::reading, false),
-            milliseconds(1000));
   EXPECT_GT(time_limit(ChannelState::waiting, true), milliseconds(3'600'000));
 }
 
+// Slow is not dead: a body may come at 64 kB a second for as long as it takes, in pieces of a byte or of two
+// seconds.
+TEST(ArrivalDeadline, AClientMayBeSlow) {
+  using Time = ArrivalDeadline::Time;
+  for (const std::size_t piece : {1, 64, 4000, 128'000}) {
+    Time now{};
+    ArrivalDeadline due(now);
+    for (std::size_t sent = 0; sent < 32'000'000; sent += piece) {
+      now += std::chrono::nanoseconds(piece * 1'000'000 / 64);
+      ASSERT_FALSE(due.over(now)) << piece << " " << sent;
+      due.received(now, piece);
+    }
+  }
+}
+
+// Guards against a client that stands still for as long as the bytes that it has sent would have allowed.
+TEST(ArrivalDeadline, NoBytesBuyTimeForStandingStill) {
+  using Time = ArrivalDeadline::Time;
+  const Time start{};
+  ArrivalDeadline due(start);
+  due.received(start + milliseconds(100), std::size_t{16} * 1024 * 1024);
+  EXPECT_FALSE(due.over(start + milliseconds(2700)));
+  EXPECT_TRUE(due.over(start + milliseconds(2800)));
+}
+
+// Few bytes give little time: 32 a millisecond.
+TEST(ArrivalDeadline, AClientThatIsTooSlowIsNotWaitedFor) {
+  using Time = ArrivalDeadline::Time;
+  const Time start{};
+  ArrivalDeadline due(start);
+  due.received(start + milliseconds(2000), 32'000);
+  EXPECT_FALSE(due.over(start + milliseconds(3699)));
+  EXPECT_TRUE(due.over(start + milliseconds(3700)));
+}
+
+TEST(ArrivalDeadline, WhatTheClientCannotHelpDoesNotCount) {
+  using Time = ArrivalDeadline::Time;
+  const Time start{};
+  ArrivalDeadline due(start);
+  due.paused(std::chrono::seconds(10));
+  EXPECT_FALSE(due.over(start + milliseconds(12'699)));
+  EXPECT_TRUE(due.over(start + milliseconds(12'700)));
+}
+
 TEST(Eviction, TakesWhatIsDoneWithThenDawdlersThenIdleOnesThenFreshOnes) {
   const auto fresh = milliseconds(100), old = milliseconds(300);
   EXPECT_EQ(eviction_rank(ChannelState::leaving, fresh), 0);
--- a/tests/decision_module_test.cpp
+++ b/tests/decision_module_test.cpp
@@ -1266,5 +1266,35 @@
   EXPECT_EQ(cancelled, 1U);
 }
 
+// Guards against clients that take their time over long bodies and keep all others out: half of the windows
+// is theirs at most, and what they free is free again.
+TEST(Uploads, LeaveHalfOfTheWindowsToOthers) {
+  Gateway gateway(single_gateway_settings(), {server("a"), server("b")});
+  const auto upload = [&](int number) {
+    auto request =
+        gateway.request("u" + std::to_string(number), "rate", "hold", "c" + std::to_string(number));
+    request.uploading = true;
+    gateway.feed({request});
+  };
+  for (int i = 0; i < 40; ++i) upload(i);
+  const auto uploads = gateway.sends.size();
+  EXPECT_EQ(uploads, 8U);  // two windows of 8
+  for (int i = 0; i < 6; ++i) {
+    const auto id = "r" + std::to_string(i);
+    gateway.feed({gateway.request(id, "rate", "look", id)});
+    EXPECT_EQ(gateway.sends.back().request, id);
+  }
+  for (int i = 0; i < 30; ++i) {
+    gateway.now += 10 * kMs;
+    gateway.feed({Timer{1}});
+  }
+  EXPECT_EQ(gateway.refused.size(), 40 - uploads);  // those that found no place are told so
+  const auto sent = gateway.sends.size();
+  gateway.feed({Uploaded{gateway.sends[0].request}});
+  gateway.feed({gateway.outcome(gateway.sends[1].request, Result::not_sent)});  // is sent again
+  for (int i = 40; i < 50; ++i) upload(i);
+  EXPECT_EQ(gateway.sends.size(), sent + 2);
+}
+
 }  // namespace
 }  // namespace cranemux
--- a/tests/soak_plan.cpp
+++ b/tests/soak_plan.cpp
@@ -107,11 +107,11 @@
 
 namespace {
 
-// Floods of what is answered at once, on any front.
+// Floods of what is answered at once, on any front, or of long requests that stop half way.
 Event draw_flood(Draws& draws, bool graphql) {
-  constexpr std::array kFloods{"health",          "new_connections", "answers_not_taken",
-                               "heads_in_pieces", "empty_lines",     "unsound_form",
-                               "long_heads",      "unsound_class",   "no_time_left"};
+  constexpr std::array kFloods{"health",       "new_connections", "answers_not_taken", "heads_in_pieces",
+                               "empty_lines",  "unsound_form",    "long_heads",        "unsound_class",
+                               "no_time_left", "half_way"};
   constexpr int kOnAnyFront = 4, kMostConnections = 60;
   Event event{Fault::flood, {}, {}};
   event.kind = kFloods.at(static_cast<std::size_t>(draws.below(graphql ? kOnAnyFront : kFloods.size())));
