Ledger: a quick pass over accounts begins at 1,024 of them

Cause: ledger::kLargeMapItems stayed 4,096 where the bound of accounts is 1,024, so between the two a pass took 5 s and idle accounts stood ten times as long as meant. Change: 1,024.

--- a/src/ledger/incremental_erase.h
+++ b/src/ledger/incremental_erase.h
@@ -11,7 +11,7 @@
 constexpr std::size_t kSmallMapItems = 64;  // a map of up to so many items is covered by each call
 constexpr std::size_t kCallsPerPass = 20;   // over a larger map; more if many items are erased ...
 constexpr std::size_t kLargeMapItems =
-    4096;  // ... and over one of more than so many items, which has to shrink
+    1024;  // ... and over one of more than so many items, which has to shrink
 constexpr std::size_t kCallsPerQuickPass = 2;
 
 // Erases items for which `finished(item)` holds; it may change the item's value. `cursor`: kept by the
