--- a/testing/flood_play.cpp
+++ b/testing/flood_play.cpp
@@ -18,8 +18,9 @@
 // On a connection: more than a gatekeeper reads at once, and no more than it answers in the time of a test.
 constexpr std::size_t kMostUnanswered = 5000;
 constexpr milliseconds kUsualWait{2000}, kNoTime{1};
-constexpr std::size_t kHalfWayLength = std::size_t{32} * 1024 * 1024, kHalfWaySent = 1024 * 1024;  // bytes
-constexpr std::size_t kBody = std::size_t{48} * 1024;  // bytes, as stand-in nodes read them
+constexpr std::size_t kHalfWayLength = std::size_t{32} * 1024 * 1024,
+                      kHalfWaySent = std::size_t{1024} * 1024;  // bytes
+constexpr std::size_t kBody = std::size_t{48} * 1024;           // bytes, as stand-in nodes read them
 
 bool books(std::size_t number) { return number % 4 == 0; }  // from 1 on, as the client counts
 
