--- a/include/cranemux/decision_module.h
+++ b/include/cranemux/decision_module.h
@@ -19,11 +19,12 @@
 // Times are nanoseconds of the caller's steady clock, which must never go back. The first step must bring the
 // server list as last known (ListScope::stored). A DecisionModule shares no state with any other unless it is
 // constructed to share quotas. It is not thread-safe: calls to one module, or to modules that share quotas,
-// must not overlap. Events that name unknown requests, attempts, servers or peers are ignored. Equal settings
-// and equal events give equal actions.
+// must not overlap. Events that name unknown requests, attempts, servers or peers are ignored; outcomes of
+// that kind are logged and counted. Equal settings and equal events give equal actions.
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -342,6 +343,10 @@
   // Number of servers in the list that get no requests now, because they drain or are ejected for failures.
   std::size_t unavailable_servers(Nanos now) const;
   Outstanding outstanding() const;
+  // Attempts without an outcome by server, only those with any.
+  std::map<std::string, int> attempts_by_server() const;
+  // Outcomes so far of which the module knows no attempt that is out; each is logged, and none is expected.
+  std::uint64_t unplaced_outcomes() const;
   // State for the next process of this gateway; empty before the first step or where quotas are guarded.
   std::string save() const;
   // Takes over a state from save(), before the first step, and appends actions. False, with nothing changed,
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -163,6 +163,8 @@
   // Attempts without an end: by the module's count, and by the core's own.
   cranemux::Outstanding outstanding() const { return module_.outstanding(); }
   int attempts_out() const;
+  std::map<std::string, int> attempts_by_worker() const { return module_.attempts_by_server(); }
+  std::uint64_t unplaced_outcomes() const { return module_.unplaced_outcomes(); }
   std::size_t avoided() const;                        // workers in the list that the module sends nothing now
   std::size_t known() const { return rpcs_.size(); }  // with those answered whose call attempt is still out
   // What customers have asked for, and units sent on, for the console; the last ones only where they are
--- a/src/decision_module.cpp
+++ b/src/decision_module.cpp
@@ -161,6 +161,16 @@
     return out;
   }
 
+  std::map<std::string, int> attempts_by_server() const {
+    std::map<std::string, int> out;
+    for (const auto& server : servers_) {
+      if (server.open != 0) out[server.entry.id] += server.open;
+    }
+    return out;
+  }
+
+  std::uint64_t unplaced_outcomes() const { return unplaced_outcomes_; }
+
   std::size_t unavailable_servers(Nanos now) const {
     return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const Server& s) {
       return s.entry.state == ServerState::draining ||
@@ -934,11 +944,12 @@
 
   void on(const Outcome& outcome) {
     const auto at = jobs_.find(outcome.request);
-    if (at == jobs_.end()) return;
+    if (at == jobs_.end()) return report_unplaced(outcome, "its request is not known");
     auto& job = at->second;
-    if (outcome.attempt < 0 || outcome.attempt >= static_cast<int>(job.attempts.size())) return;
+    if (outcome.attempt < 0 || outcome.attempt >= static_cast<int>(job.attempts.size()))
+      return report_unplaced(outcome, "no such attempt was sent");
     auto& attempt = job.attempts[static_cast<std::size_t>(outcome.attempt)];
-    if (!attempt.pending) return;
+    if (!attempt.pending) return report_unplaced(outcome, "the attempt has had its outcome");
     attempt.pending = false;
     attempt.may_have_run = outcome.result != Result::full && outcome.result != Result::connect_failed &&
                            outcome.result != Result::not_sent;
@@ -963,6 +974,13 @@
     }
   }
 
+  // An attempt that is waited for may then be out for good: a fault of whoever makes the attempts.
+  void report_unplaced(const Outcome& outcome, const char* reason) {
+    ++unplaced_outcomes_;
+    act(Log{"unplaced outcome of request " + outcome.request + " attempt " + std::to_string(outcome.attempt) +
+            ": " + reason + "; restart this gatekeeper if `nodes` shows attempts held that are not busy"});
+  }
+
   // Charges the difference between a request's true units and those spent for it; may be below 0.
   void settle(Account& account, double difference) {
     if (active_elsewhere_) act(SpentElsewhere{account.hash, difference, true});
@@ -1198,6 +1216,7 @@
   pool::AnswerTimes answer_times_{kInitialLatencyAimShare};
   pool::Load load_;
   const pool::Windows windows_{settings_.gateways};
+  std::uint64_t unplaced_outcomes_ = 0;
   int uploads_out_ = 0;  // attempts whose request's body is not whole yet
   const pool::ColdStart cold_start_{settings_.cold_from, settings_.warm_up, settings_.gateways};
   double recent_answers_ = 0;  // decays over kAnswerRateWindow
@@ -1225,6 +1244,8 @@
   return impl_->restore(now, state, actions);
 }
 Outstanding DecisionModule::outstanding() const { return impl_->outstanding(); }
+std::map<std::string, int> DecisionModule::attempts_by_server() const { return impl_->attempts_by_server(); }
+std::uint64_t DecisionModule::unplaced_outcomes() const { return impl_->unplaced_outcomes(); }
 std::size_t DecisionModule::unavailable_servers(Nanos now) const { return impl_->unavailable_servers(now); }
 std::string DecisionModule::guard_report(Nanos now) const { return impl_->guard_report(now); }
 void DecisionModule::step(Nanos now, const std::vector<Event>& events, std::vector<Action>& actions) {
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -200,9 +200,20 @@
   for (const auto& member : leaving_) sum += *member.counters;
   sum.log_lines_dropped = logger_.dropped();
   count_loop(sum);
+  count_attempts(sum);
   return sum;
 }
 
+void Gatekeeper::count_attempts(metrics::Counters& sum) const {
+  const auto add = [&sum](const core::Core& core) {
+    sum.attempts_unplaced += core.unplaced_outcomes();
+    sum.attempts_out += static_cast<metrics::Counters::Count>(core.attempts_out());
+    sum.attempts_held += static_cast<metrics::Counters::Count>(core.outstanding().at_servers);
+  };
+  for (const auto& [name, member] : pools_) add(member.pool->core());
+  for (const auto& member : leaving_) add(member.pool->core());
+}
+
 void Gatekeeper::count_loop(metrics::Counters& sum) const {
   const auto ms = [](std::chrono::nanoseconds span) {
     return static_cast<metrics::Counters::Count>(
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -77,6 +77,7 @@
   // Of a process that is replaced, and of the one that replaces it.
   void open_handover();
   void watch_loop();
+  void count_attempts(metrics::Counters& sum) const;
   void count_loop(metrics::Counters& sum) const;
   std::string handover_path() const;
   pool::Pool& the_pool() { return *pools_.begin()->second.pool; }
--- a/src/gatekeeper_console.cpp
+++ b/src/gatekeeper_console.cpp
@@ -40,9 +40,11 @@
 void Gatekeeper::print_nodes(std::ostream& out, const std::string& only) const {
   for (const auto& [pool, member] : pools_) {
     if (!only.empty() && pool != only) continue;
+    auto held = member.pool->core().attempts_by_worker();
     for (const auto& [node, n] : member.pool->attempts().nodes()) {
       if (services_) out << pool << ' ';
-      out << node << ' ' << n.state << " busy " << n.busy << " idle " << n.idle << " sent " << n.sent << '\n';
+      out << node << ' ' << n.state << " busy " << n.busy << " idle " << n.idle << " sent " << n.sent
+          << " held " << held[node] << '\n';
     }
   }
 }
--- a/src/metrics/counters.h
+++ b/src/metrics/counters.h
@@ -25,6 +25,8 @@
   Count attempts_sent = 0, attempts_ok = 0, attempts_error = 0, attempts_full = 0, attempts_timeout = 0;
   Count attempts_connect_failed = 0, attempts_reset = 0, attempts_cancelled = 0, attempts_moot = 0;
   Count attempts_spoilt = 0, attempts_overfull = 0, attempts_no_room = 0;
+  Count attempts_unplaced = 0;                // outcomes of which the module knows no attempt
+  Count attempts_out = 0, attempts_held = 0;  // now, by the core and by the module: the same, or some leak
   Count worker_connections = 0, customers_forgotten = 0;
   Count peer_sent = 0, peer_received = 0, peer_dropped = 0, peer_crowded = 0, peer_unknown_pool = 0;
   Count routes_missed_host = 0, routes_missed_path = 0, routes_missed_method = 0, routes_missed_class = 0;
@@ -61,6 +63,8 @@
   // What stands now, or was the most so far; of the whole process.
   template <typename Visit>
   void each_gauge(Visit visit) const {
+    visit("attempts_out", attempts_out);
+    visit("attempts_held", attempts_held);
     visit("loop_delay_ms", loop_delay_ms);
     visit("loop_delay_max_ms", loop_delay_max_ms);
     visit("turn_max_ms", turn_max_ms);
@@ -96,6 +100,7 @@
     visit("attempts_moot", self.attempts_moot);
     visit("attempts_spoilt", self.attempts_spoilt);
     visit("attempts_overfull", self.attempts_overfull);
+    visit("attempts_unplaced", self.attempts_unplaced);
     visit("attempts_no_room", self.attempts_no_room);
     visit("worker_connections", self.worker_connections);
     visit("customers_forgotten", self.customers_forgotten);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -206,6 +206,7 @@
   attempt_ends(rpc, Result::error);
   pass_a_tick();
   EXPECT_TRUE(core.outstanding() == Outstanding{});
+  EXPECT_EQ(core.unplaced_outcomes(), 0U);
 }
 
 // Whatever comes in whichever order: with no request left, nothing that was lent is still out.
@@ -256,6 +257,8 @@
   pass_a_tick();
   RC_ASSERT(core.outstanding() == Outstanding{});
   RC_ASSERT(core.attempts_out() == 0);
+  RC_ASSERT(core.attempts_by_worker().empty());
+  RC_ASSERT(core.unplaced_outcomes() == 0U);
   RC_ASSERT(core.known() == 0U);
 }
 
--- a/tests/decision_module_test.cpp
+++ b/tests/decision_module_test.cpp
@@ -92,6 +92,7 @@
     o.finished = result == Result::ok;
     return o;
   }
+  const DecisionModule& module() const { return module_; }
   std::size_t answered(int upto) const {
     return sends.size() + refused.size() + failed.size() - static_cast<std::size_t>(upto);
   }
@@ -1296,5 +1297,28 @@
   EXPECT_EQ(gateway.sends.size(), sent + 2);
 }
 
+// Guards against an outcome that is passed over in silence: the attempt that it belongs to is then out for
+// good, and its server's place with it.
+TEST(Outcomes, OneThatCannotBePlacedIsCountedAndLogged) {
+  Gateway gateway(single_gateway_settings(), {server("a")});
+  gateway.feed({gateway.request("r", "rate", "look", "c0")});
+  ASSERT_EQ(gateway.sends.size(), 1U);
+  EXPECT_EQ(gateway.module().attempts_by_server().at("a"), 1);
+  auto unknown = gateway.outcome("r", Result::ok), unsent = unknown;
+  unknown.request = "nobody's";
+  unsent.attempt = 1;
+  for (const auto& outcome :
+       {unknown, unsent, gateway.outcome("r", Result::error), gateway.outcome("r", Result::ok)}) {
+    const auto before = gateway.module().unplaced_outcomes();
+    std::size_t logged = 0;
+    for (const auto& action : gateway.feed({outcome})) {
+      const auto* log = std::get_if<Log>(&action);
+      logged += log && log->text.starts_with("unplaced outcome of request " + outcome.request) ? 1 : 0;
+    }
+    EXPECT_EQ(gateway.module().unplaced_outcomes() - before, logged);
+  }
+  EXPECT_EQ(gateway.module().unplaced_outcomes(), 3U);  // all but the error
+}
+
 }  // namespace
 }  // namespace cranemux
