--- a/testing/client.cpp
+++ b/testing/client.cpp
@@ -172,6 +172,7 @@
   }
   result.took = Clock::now() - result.sent;
   if (rules_ && result.status != 0) rules_->answered(id, result.status, result.sent + result.timed);
+  if (rules_ && result.status == 200) rules_->served(id, result.body);
   results_.push_back(result);
   --open_;
   if (ask.done) ask.done(result);
--- a/testing/flood_play.cpp
+++ b/testing/flood_play.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kUsualCustomers = 5;
 // On a connection: more than a gatekeeper reads at once, and no more than it answers in the time of a test.
 constexpr std::size_t kMostUnanswered = 5000;
-constexpr milliseconds kUsualWait{2000}, kNoTime{1};
+constexpr milliseconds kUsualWait{2000}, kNoTime{1}, kLeaves{100};
 constexpr std::size_t kHalfWayLength = std::size_t{32} * 1024 * 1024,
                       kHalfWaySent = std::size_t{1024} * 1024;  // bytes
 constexpr std::size_t kBody = std::size_t{48} * 1024;           // bytes, as stand-in nodes read them
@@ -126,6 +126,13 @@
   });
   kinds["half_way"].batch = kinds["half_way"].most_unanswered = 1;
   kinds["half_way"].answered_each = false;
+  // A burst of requests that are sent to workers, whose client goes before most are answered.
+  kinds["leaving_bursts"] = platform_kind([](const auto& id, std::size_t i) {
+    return platform_request(id, customer_name(i), "business", kUsualWait);
+  });
+  kinds["leaving_bursts"].batch = kinds["leaving_bursts"].most_unanswered = 200;
+  kinds["leaving_bursts"].answered_each = false;
+  kinds["leaving_bursts"].leaves_after = kLeaves;
   // Workers answer these targets as set_up_flooded() says.
   for (const std::string name : {"long", "interim"}) {
     kinds[name + "_answers"] = taken([name](const auto& id, std::size_t i) {
--- a/testing/flooding_clients.cpp
+++ b/testing/flooding_clients.cpp
@@ -46,6 +46,7 @@
 
 void FloodingClients::open(Connection& connection) const {
   connection = {};
+  connection.opened = std::chrono::steady_clock::now();
   connection.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in at{};
   at.sin_family = AF_INET;
@@ -103,7 +104,9 @@
 bool FloodingClients::turn(Connections& connections) {
   std::vector<pollfd> looks;
   bool finished = finishing_;
+  const auto leaving = std::chrono::steady_clock::now() - kind_.leaves_after;
   for (auto& connection : connections) {
+    if (kind_.leaves_after.count() > 0 && connection.opened <= leaving) close(connection);
     if (connection.fd < 0 && !finishing_) open(connection);
     const bool answered = connection.out.empty() && connection.answered >= connection.sent;
     finished = finished && (connection.fd < 0 || answered);
--- a/testing/flooding_clients.h
+++ b/testing/flooding_clients.h
@@ -22,6 +22,7 @@
   bool reads = true;                // takes its answers
   bool reconnects = false;          // a connection for each request, closed with its answer
   bool answered_each = true;        // each request has an answer of its own, and the connection goes on
+  std::chrono::milliseconds leaves_after{0};  // closes its connection so long after opening it; 0: stays
 };
 
 class FloodingClients {
@@ -43,6 +44,7 @@
  private:
   struct Connection {
     int fd = -1;
+    std::chrono::steady_clock::time_point opened;
     bool connecting = false;
     std::string out;                     // not written yet
     std::string tail;                    // of what was read: may hold a part of a status line
--- a/testing/node.cpp
+++ b/testing/node.cpp
@@ -173,8 +173,15 @@
   if (act.answer == Answer::spoilt) out = "HTTP/9 what \x01 is this\r\n";
   if (act.answer != Answer::good) text.clear();
   out += "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
-  const auto [error, count] =
-      co_await net::asio::async_write(talk.socket, net::asio::buffer(out), net::kResult);
+  auto [error, count] = co_await net::asio::async_write(talk.socket, net::asio::buffer(out), net::kResult);
+  if (error || alive.expired()) co_return false;
+  const bool sound = act.answer == Answer::good || act.answer == Answer::declined;
+  if (!sound || act.late_copy.count() == 0) co_return true;
+  over(talk);  // the first copy ends it
+  net::asio::steady_timer pause(stage_.io(), act.late_copy);
+  co_await pause.async_wait(net::kResult);
+  if (alive.expired()) co_return false;
+  std::tie(error, count) = co_await net::asio::async_write(talk.socket, net::asio::buffer(out), net::kResult);
   co_return !error;
 }
 
--- a/testing/node.h
+++ b/testing/node.h
@@ -25,7 +25,8 @@
     spoilt,    // runs, then says what cannot be read
   };
   Answer answer = Answer::good;
-  milliseconds delay{5};  // from the request's last byte to the answer
+  milliseconds delay{5};      // from the request's last byte to the answer
+  milliseconds late_copy{0};  // a good or declining answer comes once more, so much later; 0: it does not
 };
 
 // Server-sent events instead of an answer: a text again and again, until the caller goes, or so many times;
--- a/testing/rules.cpp
+++ b/testing/rules.cpp
@@ -25,6 +25,12 @@
   asks_[id].answers.emplace_back(status, at);
 }
 
+// Stand-in nodes end a good body with the request's id.
+void Rules::served(const std::string& id, const std::string& body) {
+  const auto other = body.substr(body.rfind(' ') + 1);
+  if (other != id && asks_.contains(other)) asks_[id].answer_of = other;
+}
+
 void Rules::left(const std::string& id, Time at) { asks_[id].left = at; }
 
 void Rules::lost_with_process(const std::string& id) { asks_[id].lost_with_process = true; }
@@ -69,6 +75,7 @@
     if (!ask.answers.empty() && ask.answers.front().second > ask.at + ask.deadline + slack) {
       out.push_back(id + " was answered past its deadline");
     }
+    if (!ask.answer_of.empty()) out.push_back(id + " got the answer to " + ask.answer_of);
     if (ask.most_out > 1) out.push_back(id + " had two call attempts out at once");
     if (ask.cuts > 0 && !excused) out.push_back(id + " was cut off while its node wrote the answer");
     if (!ask.safe && ask.runs > 1)
--- a/testing/rules.h
+++ b/testing/rules.h
@@ -21,7 +21,8 @@
   void asked(const std::string& id, bool safe, const std::string& customer, double units, Time at,
              Span deadline);
   void answered(const std::string& id, int status, Time at);
-  void left(const std::string& id, Time at);  // it closed its connection before the answer
+  void served(const std::string& id, const std::string& body);  // with that body
+  void left(const std::string& id, Time at);                    // it closed its connection before the answer
   // The process that had it was killed: neither an answer nor a lost one.
   void lost_with_process(const std::string& id);
   // What nodes see: the first byte and the end of a request on a connection, what came of it.
@@ -80,6 +81,7 @@
     std::optional<Time> left;
     std::size_t runs = 0, cuts = 0;
     bool lost_with_process = false;
+    std::string answer_of;  // the request that its answer was made for, where that is another one
     int out = 0, most_out = 0;
   };
   struct Begin {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -49,6 +49,15 @@
   rules.answered("d", 429, at(2000));
   EXPECT_EQ(only(rules), "d was answered past its deadline");
 
+  rules = sound();
+  rules.asked("b", true, "c", 1, at(0), milliseconds(500));
+  rules.left("b", at(1));
+  rules.served("a", "n a");
+  rules.served("a", "short");
+  EXPECT_TRUE(rules.broken().empty());
+  rules.served("a", "n b");
+  EXPECT_EQ(only(rules), "a got the answer to b");
+
   rules = sound();
   rules.answered("a", 200, at(60));
   EXPECT_EQ(only(rules), "a has 2 answers");
--- a/tests/soak_plan.cpp
+++ b/tests/soak_plan.cpp
@@ -43,6 +43,7 @@
 // Beside the others, where they are asked for: seeds keep their plans.
 constexpr std::array kOverlaidKinds{
     Kind{Fault::flood, "flood", milliseconds(1000), milliseconds(5000)},
+    Kind{Fault::late_copies, "late_copies", milliseconds(1000), milliseconds(5000)},
     Kind{Fault::small_share, "small_share", milliseconds(1000), milliseconds(5000)},
 };
 constexpr milliseconds kCalmBeginning{3000};
@@ -107,11 +108,12 @@
 
 namespace {
 
-// Floods of what is answered at once, on any front, or of long requests that stop half way.
+// Floods of what is answered at once, on any front, of long requests that stop half way, or of clients that
+// leave.
 Event draw_flood(Draws& draws, bool graphql) {
   constexpr std::array kFloods{"health",       "new_connections", "answers_not_taken", "heads_in_pieces",
                                "empty_lines",  "unsound_form",    "long_heads",        "unsound_class",
-                               "no_time_left", "half_way"};
+                               "no_time_left", "half_way",        "leaving_bursts"};
   constexpr int kOnAnyFront = 4, kMostConnections = 60;
   Event event{Fault::flood, {}, {}};
   event.kind = kFloods.at(static_cast<std::size_t>(draws.below(graphql ? kOnAnyFront : kFloods.size())));
@@ -119,14 +121,27 @@
   return event;
 }
 
+Event draw_overlaid(Draws& draws, bool graphql) {
+  constexpr int kMostBusy = 8;
+  switch (draws.below(4)) {
+    case 0: {
+      Event event{Fault::small_share, {}, {}};
+      event.count = 1 + static_cast<std::size_t>(draws.below(kMostBusy));
+      return event;
+    }
+    case 1:
+      return {Fault::late_copies, {}, {}};
+    default:
+      return draw_flood(draws, graphql);
+  }
+}
+
 void add_floods(Plan& plan) {
   constexpr std::uint64_t kOwnDraws = 0x666c6f6f64;
   constexpr milliseconds kMostGap{4000};
-  constexpr int kMostBusy = 8;
   Draws draws(plan.seed ^ kOwnDraws);
   for (auto at = kCalmBeginning;;) {
-    auto event = draws.below(3) == 0 ? Event{Fault::small_share, {}, {}} : draw_flood(draws, plan.graphql);
-    if (event.fault == Fault::small_share) event.count = 1 + static_cast<std::size_t>(draws.below(kMostBusy));
+    auto event = draw_overlaid(draws, plan.graphql);
     const auto& kind = kind_of(event.fault);
     event.at = at;
     event.lasts = draws.between(kind.least, kind.most);
--- a/tests/soak_plan.h
+++ b/tests/soak_plan.h
@@ -39,6 +39,7 @@
   nodes_write_slowly,  // both nodes write long answers of no told length, in lumps with pauses
   crowd,               // idle clients take most of the descriptors, and leave at once
   flood,               // clients send at full speed
+  late_copies,         // nodes send answers once more, some milliseconds late
   small_share,         // other processes are busy on the gatekeeper's core
 };
 const char* name_of(Fault fault);
--- a/tests/soak_run.cpp
+++ b/tests/soak_run.cpp
@@ -29,6 +29,7 @@
 
 constexpr int kDescriptors = 1024, kMemoryMb = 64;  // of each gatekeeper's settings
 constexpr int kCrowd = kDescriptors * 6 / 10;
+constexpr milliseconds kLateCopy{4};
 constexpr milliseconds kAnswerSlack{250};  // of the rules' checker
 constexpr milliseconds kDrainGrace{1000};  // likewise: attempts may begin so long after a node has gone
 constexpr int kFaultyReload = 2;           // of the reloads in a row
@@ -338,6 +339,7 @@
     for (std::size_t i = 0; i < tier_.nodes.size(); ++i) {
       auto& behaviour = tier_.nodes[i]->behaviour;
       behaviour = {};
+      if (goes_on(Fault::late_copies)) behaviour.late_copy = kLateCopy;
       if (goes_on(Fault::nodes_late)) behaviour.delay = milliseconds(1000);
       if (goes_on(Fault::node_resets) && i == 0) behaviour.answer = Answer::reset;
       if (goes_on(Fault::node_declines) && i == 0) behaviour.answer = Answer::declined;
