Tests: a rig waits for the console too; an unknown outcome is logged

Cause, read: the listener is made before the console, and Rig::start waited for the listener only, so a process that was put off between the two had no console yet. Change: it waits for the console's first answer, too. Events.UnknownOnesAreIgnored failed in the same run: since an outcome that cannot be placed is logged it is an action. The other five events are held to none as before, the outcome to the one log line and nothing else.

--- a/testing/rig.cpp
+++ b/testing/rig.cpp
@@ -7,6 +7,11 @@
 #include <thread>
 
 namespace cranemux::testing {
+namespace {
+
+constexpr milliseconds kToStart{20'000};
+
+}  // namespace
 
 std::string ServicesFile::text(int port) const {
   std::string out = "name: rig\nlimits: " + limits + "\nclasses: " + classes + "\nplans: " + plans + "\n";
@@ -71,7 +76,11 @@
                                 std::vector<std::string>{"serve", "--config", folder.path("services.yaml"),
                                                          "--console", folder.path("console")},
                                 std::map<std::string, std::string>{}, folder.path("log"));
-  if (wait_for_listener(port, milliseconds(20'000), [this] { return program->alive(); })) return;
+  const auto alive = [this] { return program->alive(); };
+  // Its console comes after its listener.
+  if (wait_for_listener(port, kToStart, alive) &&
+      stage.play_until([&] { return !alive() || !console("check").empty(); }, kToStart) && alive())
+    return;
   std::ifstream in(folder.path("log"));
   throw std::runtime_error("the program does not listen: " +
                            std::string(std::istreambuf_iterator<char>(in), {}));
--- a/tests/decision_module_test.cpp
+++ b/tests/decision_module_test.cpp
@@ -1181,10 +1181,13 @@
 
 TEST(Events, UnknownOnesAreIgnored) {
   Gateway gateway(base_settings());
-  const auto actions = gateway.feed({gateway.outcome("nobody", Result::ok), ClientGone{"nobody"}, Timer{123},
-                                     FirstByte{"nobody", 4}, ProbeResult{"nobody", Result::ok, 1, {}},
-                                     CounterResult{1, true, 3}});
+  const auto actions = gateway.feed({ClientGone{"nobody"}, Timer{123}, FirstByte{"nobody", 4},
+                                     ProbeResult{"nobody", Result::ok, 1, {}}, CounterResult{1, true, 3}});
   EXPECT_TRUE(actions.empty());
+  // An outcome is logged besides, and nothing else comes of it.
+  const auto of_outcome = gateway.feed({gateway.outcome("nobody", Result::ok)});
+  ASSERT_EQ(of_outcome.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<Log>(of_outcome.front()));
 }
 
 TEST(Determinism, EqualEventsGiveEqualActions) {
