Gatekeeper: a pool's counters show its own attempts, and are looked up in the servers' count

`counters POOL` printed attempts_unplaced, attempts_out, attempts_held and the loop's figures as 0, since they were filled in for the sum of all pools only; and held attempts were taken from DecisionModule::outstanding, which walks all accounts and requests, at every call, also where only the lanes were asked for.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -193,25 +193,36 @@
 }
 
 metrics::Counters Gatekeeper::counters() const {
+  auto sum = summed_counters();
+  count_loop(sum);
+  for (const auto& [name, member] : pools_) count_attempts(member.pool->core(), sum);
+  for (const auto& member : leaving_) count_attempts(member.pool->core(), sum);
+  return sum;
+}
+
+metrics::Counters Gatekeeper::counters_of(const Member& member) const {
+  if (!member.counters) return counters();
+  auto own = *member.counters;
+  count_loop(own);
+  count_attempts(member.pool->core(), own);
+  return own;
+}
+
+metrics::Counters Gatekeeper::summed_counters() const {
   auto sum = counters_;
   for (const auto& [name, member] : pools_) {
     if (member.counters) sum += *member.counters;
   }
   for (const auto& member : leaving_) sum += *member.counters;
   sum.log_lines_dropped = logger_.dropped();
-  count_loop(sum);
-  count_attempts(sum);
   return sum;
 }
 
-void Gatekeeper::count_attempts(metrics::Counters& sum) const {
-  const auto add = [&sum](const core::Core& core) {
-    sum.attempts_unplaced += core.unplaced_outcomes();
-    sum.attempts_out += static_cast<metrics::Counters::Count>(core.attempts_out());
-    sum.attempts_held += static_cast<metrics::Counters::Count>(core.outstanding().at_servers);
-  };
-  for (const auto& [name, member] : pools_) add(member.pool->core());
-  for (const auto& member : leaving_) add(member.pool->core());
+void Gatekeeper::count_attempts(const core::Core& core, metrics::Counters& sum) {
+  sum.attempts_unplaced += core.unplaced_outcomes();
+  sum.attempts_out += static_cast<metrics::Counters::Count>(core.attempts_out());
+  for (const auto& [worker, held] : core.attempts_by_worker())
+    sum.attempts_held += static_cast<metrics::Counters::Count>(held);
 }
 
 void Gatekeeper::count_loop(metrics::Counters& sum) const {
@@ -230,7 +241,7 @@
 
 metrics::Figures Gatekeeper::figure() const {
   metrics::Figures figures;
-  figures.lanes = counters().lanes;
+  figures.lanes = summed_counters().lanes;
   figures.pending = busy_channels();
   for (const auto& [name, member] : pools_) {
     figures.members += member.pool->nodes().size();
--- a/src/gatekeeper.h
+++ b/src/gatekeeper.h
@@ -77,7 +77,10 @@
   // Of a process that is replaced, and of the one that replaces it.
   void open_handover();
   void watch_loop();
-  void count_attempts(metrics::Counters& sum) const;
+  metrics::Counters counters_of(const Member& member) const;
+  metrics::Counters summed_counters()
+      const;  // of the process and its pools, without what is looked up elsewhere
+  static void count_attempts(const core::Core& core, metrics::Counters& sum);
   void count_loop(metrics::Counters& sum) const;
   std::string handover_path() const;
   pool::Pool& the_pool() { return *pools_.begin()->second.pool; }
--- a/src/gatekeeper_console.cpp
+++ b/src/gatekeeper_console.cpp
@@ -90,7 +90,7 @@
   if (name == "counters") {
     const auto at = pools_.find(argument);
     if (!argument.empty() && at == pools_.end()) return "there is no pool " + argument + '\n';
-    out << (at != pools_.end() && at->second.counters ? *at->second.counters : counters());
+    out << (at == pools_.end() ? counters() : counters_of(at->second));
     if (argument.empty()) out << figures();
   } else if (name == "check" || name == "vars" || name == "drain-on" || name == "drain-off") {
     return management::answer(line, *this);  // as where operators call
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -552,6 +552,8 @@
   Client client(rig.stage, rig.port, &rig.rules);
   for (int i = 0; i < 10; ++i) client.send(to("book.example.org", i, false));
   rig.stage.play(milliseconds(100));
+  EXPECT_EQ(rig.counter("attempts_out", "book"), 10U);
+  EXPECT_EQ(rig.counter("attempts_held", "book"), 10U);
   rig.file.pools.erase("book");
   rig.file.routes.pop_back();
   rig.reload();
