--- a/testing/flood_play.cpp
+++ b/testing/flood_play.cpp
@@ -69,15 +69,9 @@
   return kind;
 }
 
-// The head of a booking with a body of that length.
-std::string long_post(const std::string& id, std::size_t customer, std::size_t length) {
-  auto text = platform_request(id, customer_name(customer), "business", kUsualWait, "book-job");
-  text.replace(0, 3, "POST");
-  return text.insert(text.size() - 2, "Content-Length: " + std::to_string(length) + "\r\n");
-}
-
 std::string booking(const std::string& id, std::size_t number) {
-  return long_post(id, number % kUsualCustomers, kBody) + std::string(kBody, 'b');
+  return booking_head(id, customer_name(number % kUsualCustomers), "business", kUsualWait, kBody) +
+         std::string(kBody, 'b');
 }
 
 std::map<std::string, FloodKind> all_kinds() {
@@ -122,7 +116,8 @@
   kinds["long_bodies"].batch = 1;
   kinds["long_bodies"].most_unanswered = 2;
   kinds["half_way"] = platform_kind([](const auto& id, std::size_t i) {
-    return long_post(id, i, kHalfWayLength) + std::string(kHalfWaySent, 'b');
+    return booking_head(id, customer_name(i), "business", kUsualWait, kHalfWayLength) +
+           std::string(kHalfWaySent, 'b');
   });
   kinds["half_way"].batch = kinds["half_way"].most_unanswered = 1;
   kinds["half_way"].answered_each = false;
--- a/testing/flooding_clients.cpp
+++ b/testing/flooding_clients.cpp
@@ -141,6 +141,13 @@
          "\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n";
 }
 
+std::string booking_head(const std::string& id, const std::string& customer, const std::string& plan,
+                         std::chrono::milliseconds deadline, std::size_t length) {
+  auto text = platform_request(id, customer, plan, deadline, "book-job");
+  text.replace(0, 3, "POST");
+  return text.insert(text.size() - 2, "Content-Length: " + std::to_string(length) + "\r\n");
+}
+
 std::string customer_name(std::size_t number) {
   std::array<char, 20> text{};
   std::snprintf(text.data(), text.size(), "%016zx", number + 100);
--- a/testing/flooding_clients.h
+++ b/testing/flooding_clients.h
@@ -70,6 +70,9 @@
 // A request of the platform's form. `customer`: 16 hexadecimal digits.
 std::string platform_request(const std::string& id, const std::string& customer, const std::string& plan,
                              std::chrono::milliseconds deadline, const std::string& klass = "job-status");
+// The head of a booking with a body of that length.
+std::string booking_head(const std::string& id, const std::string& customer, const std::string& plan,
+                         std::chrono::milliseconds deadline, std::size_t length);
 std::string customer_name(std::size_t number);
 
 }  // namespace cranemux::testing
--- a/testing/node.h
+++ b/testing/node.h
@@ -15,6 +15,8 @@
 
 namespace cranemux::testing {
 
+constexpr milliseconds kConnectionRested{100};  // a connection that has served serves again by then
+
 struct Behaviour {
   enum class Answer {
     good,      // 200 and a body that names the node and the request
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -53,9 +53,8 @@
   site.start();
   Wire wire(site.stage, site.port);
   std::string body;
-  constexpr milliseconds kRested{100};  // a connection to the worker serves again by then
   const auto ask = [&](const std::string& id, const std::string& answer) {
-    site.stage.play(kRested);
+    site.stage.play(kConnectionRested);
     told = answer;
     wire.send(request(id));
     return wire.answer(body);
@@ -617,10 +616,8 @@
     site.start();
     const auto data = pattern(kMega);
     for (std::size_t i = 0; i < kClients; ++i) {
-      auto head = platform_request("half" + std::to_string(i), customer_name(i), "business",
-                                   milliseconds(2000), "book-job");
-      head.replace(0, 3, "POST");
-      head.insert(head.size() - 2, "Content-Length: 33554432\r\n");
+      const auto head = booking_head("half" + std::to_string(i), customer_name(i), "business",
+                                     milliseconds(2000), 32 * kMega);
       auto& wire = wires.emplace_back(site.stage, site.port);
       wire.send(head + data);
       site.stage.play_until([&] { return begun() > i; }, kToBegin);
--- a/tests/replaced_worker_test.cpp
+++ b/tests/replaced_worker_test.cpp
@@ -35,9 +35,8 @@
   site.stage.play(milliseconds(300));
   EXPECT_EQ(site.figure("router_members"), 1);
   std::string body;
-  constexpr milliseconds kRested{100};  // a connection to the worker serves again by then
   for (int i = 0; i < 6; ++i) {
-    site.stage.play(kRested);
+    site.stage.play(kConnectionRested);
     Wire wire(site.stage, site.port);
     wire.send(request("r" + std::to_string(i), "Content-Length: 0\r\n", false));
     ASSERT_TRUE(wire.answer(body));
--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -112,7 +112,8 @@
   for (const auto& row : rows) {
     if (row.code == 0) continue;
     std::cout << "\nseed " << row.seed << ", kept in " << folder_of(arguments, row.seed)
-              << "; again: tests/soak --seed " << row.seed << " --seconds " << arguments.seconds << '\n'
+              << "; again: tests/soak --seed " << row.seed << " --seconds " << arguments.seconds
+              << (arguments.floods ? " --floods" : "") << '\n'
               << row.output;
   }
 }
